--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 demo:
 	./examples/demo.sh
 
-test:
+test: model
 	go test -race ./...
 
 model:
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -13,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/catkinrun/catkinrun"
 )
 
@@ -115,34 +118,48 @@
 }
 
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
-	key := r.URL.Query().Get("key")
+	row, err := p.Get(r.Context(), r.URL.Query().Get("key"))
+	writeResult(w, row, err)
+}
+
+// Get implements catkinrun.Table.
+func (p *Platform) Get(_ context.Context, key string) (catkinrun.Row, error) {
 	p.mu.Lock()
-	row, ok := p.rows[key]
-	p.mu.Unlock()
-	if !ok {
-		row.Key = key
+	defer p.mu.Unlock()
+	if p.faults.Outage {
+		return catkinrun.Row{}, outage("get")
 	}
-	writeJSON(w, row)
+	row := p.rows[key]
+	row.Key = key
+	return row, nil
 }
 
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	prefix, after := query.Get("prefix"), query.Get("after")
 	limit, err := strconv.Atoi(query.Get("limit"))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	rows, err := p.Scan(r.Context(), query.Get("prefix"), query.Get("after"), limit)
+	writeResult(w, rows, err)
+}
+
+// Scan implements catkinrun.Table.
+func (p *Platform) Scan(_ context.Context, prefix, after string, limit int) ([]catkinrun.Row, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.Outage {
+		return nil, outage("scan")
+	}
 	rows := make([]catkinrun.Row, 0)
 	for key, row := range p.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	p.mu.Unlock()
 	slices.SortFunc(rows, func(a, b catkinrun.Row) int { return strings.Compare(a.Key, b.Key) })
-	writeJSON(w, rows[:min(limit, len(rows))])
+	return rows[:min(limit, len(rows))], nil
 }
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
@@ -151,20 +168,48 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	failed, lost := p.apply(t)
+	var failed *catkinrun.CheckError
+	err := p.Commit(r.Context(), t)
 	switch {
-	case failed != "":
+	case errors.As(err, &failed):
 		w.WriteHeader(http.StatusConflict)
-		_, _ = io.WriteString(w, failed)
-	case lost:
+		_, _ = io.WriteString(w, failed.Key)
+	case err != nil:
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// apply runs a transaction; failed names the row whose check did not hold.
-func (p *Platform) apply(t catkinrun.Transaction) (failed string, lost bool) {
+// Commit implements catkinrun.Table.
+func (p *Platform) Commit(_ context.Context, t catkinrun.Transaction) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.faults.Outage {
+		return outage("commit")
+	}
+	failed, lost := p.applyLocked(t)
+	switch {
+	case failed != "":
+		return &catkinrun.CheckError{Key: failed}
+	case lost:
+		return outage("commit")
+	}
+	return nil
+}
+
+func outage(operation string) error {
+	return &catkinrun.StoreError{Operation: operation, Cause: io.ErrUnexpectedEOF}
+}
+
+func writeResult(w http.ResponseWriter, value any, err error) {
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, value)
+}
+
+// applyLocked runs a transaction; failed names the row whose check did not hold.
+func (p *Platform) applyLocked(t catkinrun.Transaction) (failed string, lost bool) {
 	for _, c := range t.Checks {
 		if p.rows[c.Key].Revision != c.Revision {
 			return c.Key, false
@@ -186,25 +231,40 @@
 }
 
 func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	body, ok := p.objects[r.PathValue("name")]
-	p.mu.Unlock()
-	if !ok {
+	body, err := p.GetObject(r.Context(), r.PathValue("name"))
+	if err != nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	_, _ = w.Write(body)
 }
 
+// GetObject implements catkinrun.ObjectStore.
+func (p *Platform) GetObject(_ context.Context, name string) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	body, ok := p.objects[name]
+	if !ok {
+		return nil, &catkinrun.NotFoundError{Kind: "object", Name: name}
+	}
+	return body, nil
+}
+
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	_ = p.PutObject(r.Context(), r.PathValue("name"), body)
+}
+
+// PutObject implements catkinrun.ObjectStore.
+func (p *Platform) PutObject(_ context.Context, name string, body []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.objects[r.PathValue("name")] = body
+	p.objects[name] = body
+	return nil
 }
 
 func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
