--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -176,6 +176,7 @@
 	closing, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	d.close(closing, "caller")
+	d.deduplicator.Flush()
 	d.handOver(ctx)
 	_ = d.clock.Wait(ctx, drain)
 	d.close(closing, "peer")
--- a/deduplicator/begin.go
+++ b/deduplicator/begin.go
@@ -49,7 +49,6 @@
 func (d *Deduplicator) openWhenKnown(ctx context.Context, key, request, digest string) (*Claim, []string, *Record, error) {
 	deadline := d.clock.Now().Add(syncPatience)
 	for {
-		d.advance()
 		claim, others, done, err := d.open(key, request, digest)
 		var refusal *catkinrun.Refusal
 		waits := errors.As(err, &refusal) && refusal.Reason == catkinrun.ReasonIncomplete
@@ -194,3 +193,6 @@
 		})
 	}
 }
+
+// Flush waits until the messages under way to other holders have ended.
+func (d *Deduplicator) Flush() { _ = d.sends.Wait() }
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -49,6 +49,18 @@
 	madeAt time.Time
 }
 
+// pendingView is a view in which this host does not know all of its records yet.
+type pendingView struct {
+	catkinrun.View
+	at      time.Time
+	sources map[string]bool // hosts of the previous view that told their records
+}
+
+// missing returns the hosts of the previous view that did not tell their records.
+func (p *pendingView) missing() []string {
+	return slices.DeleteFunc(slices.Clone(p.Previous), func(h string) bool { return p.sources[h] })
+}
+
 // Deduplicator keeps the records of one host for the service of the server beside
 // it. It is safe for concurrent use.
 type Deduplicator struct {
@@ -61,25 +73,25 @@
 
 	mu      sync.Mutex
 	service string
-	view    catkinrun.View
-	viewAt  time.Time
+	view    catkinrun.View    // the newest one
+	pending []*pendingView    // views up to it whose records are not known yet, oldest first
 	fence   catkinrun.Version // claims of older views are refused
 	whole   catkinrun.Version // newest view in which all of this host's records are known
-	sources map[string]bool   // hosts of the previous view that told their records
 	records map[string]*entry
 }
 
 // New returns a deduplicator without records.
 func New(replica *replicator.Replica, peers Peers, clock catkinrun.Clock, log logrus.FieldLogger, limits Limits) *Deduplicator {
-	return &Deduplicator{
+	d := &Deduplicator{
 		replica: replica, peers: peers, clock: clock, log: log, limits: limits,
 		records: make(map[string]*entry),
 	}
+	replica.Observe(d.advance)
+	return d
 }
 
-// advance moves to the newest view of the own service that the replica knows.
-func (d *Deduplicator) advance() {
-	snapshot := d.replica.Snapshot()
+// advance takes the next view of the own service from a new configuration.
+func (d *Deduplicator) advance(snapshot *catkinrun.Snapshot) {
 	identity := d.replica.Identity()
 	host, ok := snapshot.Host(identity.Host)
 	if !ok || host.Incarnation != identity.Incarnation || host.Service == "" {
@@ -88,53 +100,58 @@
 	view := snapshot.View(host.Service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.service == host.Service && d.view.Version >= view.Version {
+	if d.service != host.Service {
+		d.service = host.Service
+		d.pending = nil
+		d.whole = 0
+	} else if d.view.Version >= view.Version {
 		return
 	}
-	d.service = host.Service
 	d.view = view
-	d.viewAt = d.clock.Now()
 	d.fence = max(d.fence, view.Version)
-	d.sources = make(map[string]bool)
-	if d.whole != 0 && d.whole >= view.PreviousVersion {
-		d.sources[identity.Host] = true
-	}
+	d.pending = append(d.pending, &pendingView{View: view, at: d.clock.Now(), sources: make(map[string]bool)})
 	d.settleLocked()
 	d.log.WithFields(logrus.Fields{
 		"service": d.service, "view": view.Version, "hosts": view.Hosts, "previous": view.Previous,
 	}).Info("deduplicator: new view")
 }
 
-// settleLocked notes when every key of the previous view is known: at most one
-// holder of any three may be missing.
+// settleLocked notes the views in which every record is known, from the oldest up.
+// A host that knew all in the view before is a source for itself.
 func (d *Deduplicator) settleLocked() {
-	if d.whole >= d.view.Version {
-		return
-	}
-	missing := 0
-	for _, host := range d.view.Previous {
-		if !d.sources[host] {
-			missing++
+	for len(d.pending) > 0 {
+		next := d.pending[0]
+		if d.whole != 0 && d.whole >= next.PreviousVersion {
+			next.sources[d.replica.Identity().Host] = true
 		}
+		if !d.completeLocked(next) {
+			return
+		}
+		d.whole = next.Version
+		d.pending = d.pending[1:]
+		d.log.WithFields(logrus.Fields{"service": d.service, "view": next.Version}).Info("deduplicator: records complete")
 	}
-	holders := min(holderCount, len(d.view.Previous))
+}
+
+// completeLocked reports whether at most so many hosts of the previous view are
+// missing that every key's holders have still told enough. Records older than the
+// retention need not be known.
+func (d *Deduplicator) completeLocked(p *pendingView) bool {
+	holders := min(holderCount, len(p.Previous))
 	tolerated := holders - syncQuorum(holders)
-	old := d.clock.Now().Sub(d.viewAt) >= d.limits.Retention
-	if len(d.view.Previous) == 0 || missing <= tolerated || old {
-		d.whole = d.view.Version
-		d.log.WithFields(logrus.Fields{"service": d.service, "view": d.view.Version}).Info("deduplicator: records complete")
-	}
+	old := d.clock.Now().Sub(p.at) >= d.limits.Retention
+	return len(p.Previous) == 0 || len(p.missing()) <= tolerated || old
 }
 
 // knownLocked reports whether every claim of the key that may have run is known.
 func (d *Deduplicator) knownLocked(key string) bool {
-	if d.whole >= d.view.Version {
-		return true
+	if len(d.pending) != 1 {
+		return len(d.pending) == 0
 	}
-	holders := Holders(key, d.view.Previous)
+	holders := Holders(key, d.pending[0].Previous)
 	told := 0
 	for _, host := range holders {
-		if d.sources[host] {
+		if d.pending[0].sources[host] {
 			told++
 		}
 	}
@@ -143,7 +160,6 @@
 
 // Claimed takes another owner's claim.
 func (d *Deduplicator) Claimed(_ context.Context, c *Claim) (*ClaimAnswer, error) {
-	d.advance()
 	if !d.replica.Member() {
 		return &ClaimAnswer{}, nil
 	}
@@ -175,7 +191,6 @@
 
 // Synced tells a host of a newer view the records that it holds there.
 func (d *Deduplicator) Synced(_ context.Context, s *Sync) (*SyncAnswer, error) {
-	d.advance()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s.Service != d.service || d.whole == 0 || d.whole < s.Previous {
@@ -207,7 +222,6 @@
 // Round asks the previous view's hosts that have not told their records yet, and
 // drops records past their retention.
 func (d *Deduplicator) Round(ctx context.Context) {
-	d.advance()
 	d.expire()
 	for _, host := range d.missing() {
 		d.syncWith(ctx, host)
@@ -217,25 +231,21 @@
 	d.settleLocked()
 }
 
+// missing returns the hosts to ask for the oldest pending view.
 func (d *Deduplicator) missing() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.whole >= d.view.Version {
+	if len(d.pending) == 0 {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(d.view.Previous), func(h string) bool { return d.sources[h] })
+	self := d.replica.Identity().Host // a host that forgot its records is no source for itself
+	return slices.DeleteFunc(d.pending[0].missing(), func(h string) bool { return h == self })
 }
 
 func (d *Deduplicator) syncWith(ctx context.Context, host string) {
-	d.mu.Lock()
-	view := d.view
-	message := &Sync{
-		Service: d.service, View: view.Version, Previous: view.PreviousVersion,
-		Host: d.replica.Identity().Host, Hosts: view.Hosts,
-	}
-	d.mu.Unlock()
-	if host == message.Host {
-		return // a host that forgot its records is no source for itself
+	view, message := d.syncMessage()
+	if view == nil {
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*d.limits.Interval)
 	defer cancel()
@@ -246,16 +256,27 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.view.Version != view.Version {
-		return
-	}
 	for _, r := range answer.Records {
 		d.storeLocked(r)
 	}
-	d.sources[host] = true
+	view.sources[host] = true
 	d.settleLocked()
 }
 
+// syncMessage asks for the records of the oldest pending view; nil if none is.
+func (d *Deduplicator) syncMessage() (*pendingView, *Sync) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.pending) == 0 {
+		return nil, nil
+	}
+	view := d.pending[0]
+	return view, &Sync{
+		Service: d.service, View: view.Version, Previous: view.PreviousVersion,
+		Host: d.replica.Identity().Host, Hosts: view.Hosts,
+	}
+}
+
 func (d *Deduplicator) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -63,7 +63,7 @@
 // fails with *catkinrun.Refusal.
 func (l *Limiter) Take(ctx context.Context, team string) error {
 	deadline := l.clock.Now().Add(l.limits.Wait)
-	l.arrive(team)
+	l.Arrive(team)
 	for {
 		wait, err := l.TryTake(team)
 		if err == nil {
@@ -82,7 +82,8 @@
 // waitStep bounds a wait, since a new share may arrive meanwhile.
 const waitStep = 20 * time.Millisecond
 
-func (l *Limiter) arrive(team string) {
+// Arrive counts a request of a team as demand.
+func (l *Limiter) Arrive(team string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, ok := l.buckets[team]
--- a/replicator/count.go
+++ b/replicator/count.go
@@ -8,8 +8,8 @@
 	"github.com/catkinrun/catkinrun"
 )
 
-// reportLocked turns an Ask into tallies in this host's numbering. A report on
-// another roster version numbers its members differently and does not count.
+// reportLocked turns an Ask into tallies in this host's numbering. A tally numbered
+// by a roster that is neither the current one nor the one before does not count.
 func (r *Replica) reportLocked(ask Ask) []dated {
 	now := r.clock.Now()
 	var tallies []dated
@@ -17,11 +17,34 @@
 		tallies = append(tallies, dated{own, now})
 	}
 	for _, t := range ask.Tallies {
-		tallies = append(tallies, dated{t, now.Add(-t.Age)})
+		tallies = append(tallies, dated{r.numberedLocked(t), now.Add(-t.Age)})
 	}
 	return tallies
 }
 
+// numberedLocked returns a tally in the numbering of the current roster, if it has
+// that of the roster before.
+func (r *Replica) numberedLocked(t Tally) Tally {
+	if t.Roster == r.before.RosterVersion() {
+		return renumber(t, r.before, r.snapshot)
+	}
+	return t
+}
+
+// renumberLocked brings all tallies to the numbering of the next roster, so that
+// nothing that is known of the hosts is lost with a roster change.
+func (r *Replica) renumberLocked(next *catkinrun.Snapshot) {
+	for _, known := range []map[string][]dated{r.children, r.views} {
+		for _, tallies := range known {
+			for i, t := range tallies {
+				if t.Roster == r.snapshot.RosterVersion() {
+					tallies[i].Tally = renumber(t.Tally, r.snapshot, next)
+				}
+			}
+		}
+	}
+}
+
 // singleLocked is the tally of one host of the own zone. The vote belongs to the
 // incarnation on the roster; a restarted daemon is seen, and its server may be
 // ready, but it has no vote until the roster names the new incarnation.
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -36,6 +36,7 @@
 
 	mu         sync.Mutex
 	snapshot   *catkinrun.Snapshot
+	before     *catkinrun.Snapshot // last one with the roster before
 	recent     []catkinrun.Change
 	proofAt    time.Time // zero without proof
 	lapses     uint64    // times that the proof ran out and was renewed
@@ -45,6 +46,7 @@
 	children   map[string][]dated
 	views      map[string][]dated // other zones, and the own zone as parents saw it
 	changed    chan struct{}
+	observers  []func(*catkinrun.Snapshot)
 }
 
 // New returns a replica without configuration.
@@ -54,6 +56,7 @@
 		limits:   limits,
 		clock:    clock,
 		snapshot: catkinrun.NewSnapshot(),
+		before:   catkinrun.NewSnapshot(),
 		children: make(map[string][]dated),
 		views:    make(map[string][]dated),
 		changed:  make(chan struct{}),
@@ -158,8 +161,23 @@
 	return r.recent[i], true
 }
 
+// Observe calls observer with each configuration from now on, in order. It must not
+// call the replica back, but for Identity.
+func (r *Replica) Observe(observer func(*catkinrun.Snapshot)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observers = append(r.observers, observer)
+}
+
 func (r *Replica) replaceLocked(s *catkinrun.Snapshot) {
+	if s.RosterVersion() != r.snapshot.RosterVersion() {
+		r.before = r.snapshot
+		r.renumberLocked(s)
+	}
 	r.snapshot = s
+	for _, observer := range r.observers {
+		observer(s)
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -290,7 +308,7 @@
 		r.acceptLocked(answer.Accepted)
 	}
 	for _, t := range answer.Tallies {
-		r.views[t.Zone] = append(r.views[t.Zone], dated{t, sentAt.Add(-t.Age)})
+		r.views[t.Zone] = append(r.views[t.Zone], dated{r.numberedLocked(t), sentAt.Add(-t.Age)})
 	}
 	r.countLocked()
 	return nil
--- a/replicator/tally.go
+++ b/replicator/tally.go
@@ -121,3 +121,30 @@
 	a.Ready = a.Ready.Or(b.Ready)
 	return a
 }
+
+// renumber brings a tally from the numbering of one roster to that of another. A
+// vote goes along only if both rosters name the same incarnation.
+func renumber(t Tally, from, to *catkinrun.Snapshot) Tally {
+	next := Tally{Zone: t.Zone, Roster: to.RosterVersion(), Held: t.Held, Age: t.Age}
+	index := make(map[string]int)
+	for i, host := range to.ZoneHosts(t.Zone) {
+		index[host] = i
+	}
+	for i, host := range from.ZoneHosts(t.Zone) {
+		j, ok := index[host]
+		if !ok || !t.Seen.Has(i) {
+			continue
+		}
+		old, _ := from.Host(host)
+		entry, _ := to.Host(host)
+		same := old.Incarnation == entry.Incarnation
+		next.Seen = next.Seen.With(j)
+		if t.Voters.Has(i) && same {
+			next.Voters = next.Voters.With(j)
+		}
+		if t.Ready.Has(i) && same && old.Service == entry.Service {
+			next.Ready = next.Ready.With(j)
+		}
+	}
+	return next
+}
