Rates: room for newcomers, small teams undivided; replica and router fit full size

Ruled out: the outage itself (the same happens after any idle time) and lapses (none were logged as stale). (1) The first host to ask got the whole rate, so others waited two exchanges. (2) A broker counted the wait of a new epoch from its first Ask, not from acceptance. (3) A small rate divided by 12 gives buckets below one request, which never fill. (4) Demand fell too slowly, and an exchange came only every 500 ms.

The change: headroom above demand is bounded, the rest stays with the broker; the wait counts from when acceptance was known; a team below 2/s or a burst of 4 per host is not divided: waiting requests get single tokens, unused ones go back; a lack of tokens asks at once, less often while nothing comes. Separately: the replica counts votes by bitmap and keeps the merged view; the router reads one service, not all hosts.

The skewed-traffic test ran two rounds without requests between warm-up and loop; its order is now that of the warm-up, its bound stays 0 of 4,000.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -112,10 +112,7 @@
 func (b *Broker) settle(l *ledger, s *catkinrun.Snapshot) {
 	now := b.clock.Now()
 	accepted := b.replica.Accepted()
-	if l.acceptedAt.IsZero() && accepted >= l.epoch {
-		l.acceptedAt = now
-	}
-	if !l.acceptedAt.IsZero() && now.Sub(l.acceptedAt) >= b.limits.Proof+b.limits.Grace {
+	if age, ok := b.replica.AcceptedFor(l.epoch); ok && age >= b.limits.Proof+b.limits.Grace {
 		l.ready = true
 	}
 	for key, e := range l.entries {
--- a/broker/ledger.go
+++ b/broker/ledger.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -21,12 +22,11 @@
 
 // ledger is one team's account in one epoch.
 type ledger struct {
-	epoch      catkinrun.Version
-	acceptedAt time.Time
-	ready      bool // earlier epochs are over; shares may be moved
-	entries    map[hostKey]*entry
-	tokens     float64 // of the broker's own bucket
-	filledAt   time.Time
+	epoch    catkinrun.Version
+	ready    bool // earlier epochs are over; shares may be moved
+	entries  map[hostKey]*entry
+	tokens   float64 // of the broker's own bucket
+	filledAt time.Time
 }
 
 func newLedger(epoch catkinrun.Version) *ledger {
@@ -84,15 +84,21 @@
 // others may be using allow. Until the host confirms a smaller share, the larger
 // one counts.
 func (l *ledger) allocate(e *entry, want Want, team catkinrun.Team, activeSince time.Time) (Share, float64) {
+	returned := min(want.Returned, max(0, e.share.Burst-want.Held.Burst))
 	e.share = want.Held
 	if want.Epoch != l.epoch {
 		// The earlier epochs are over, so an unconfirmed share of one is void.
 		e.share = Share{}
+		returned = 0
 	}
+	l.tokens += returned
 	if want.Demand == 0 {
 		return Share{}, 0
 	}
 	others := l.sum(e)
+	if l.small(team, activeSince) {
+		return l.allocateTokens(e, want, max(0, team.Burst-others.Burst))
+	}
 	rate := min(l.target(e, team.Rate, activeSince), max(0, team.Rate-others.Rate))
 	burst := min(team.Burst*rate/team.Rate, max(0, team.Burst-others.Burst))
 	granted := Share{Rate: rate, Burst: burst}
@@ -103,11 +109,47 @@
 	return granted, tokens
 }
 
+const (
+	// smallRate and smallBurst are the parts of a host below which a team's rate is
+	// not divided: a share of less than a request could never be used.
+	smallRate  = 2.0 // requests per second
+	smallBurst = 4.0 // requests
+)
+
+// small reports whether the team's rate is too small to be divided among the hosts
+// that see its traffic.
+func (l *ledger) small(team catkinrun.Team, activeSince time.Time) bool {
+	active := 0
+	for _, e := range l.entries {
+		if e.demand > 0 && e.heardAt.After(activeSince) {
+			active++
+		}
+	}
+	return team.Rate < smallRate*float64(active) || team.Burst < smallBurst*float64(active)
+}
+
+// allocateTokens moves whole tokens for the requests that wait, without a rate.
+func (l *ledger) allocateTokens(e *entry, want Want, room float64) (Share, float64) {
+	tokens := min(math.Floor(min(l.tokens, room-want.Held.Burst)), float64(want.Waiting))
+	tokens = max(0, tokens)
+	l.tokens -= tokens
+	granted := Share{Burst: want.Held.Burst + tokens}
+	if want.Held.Rate > 0 {
+		granted.Burst = tokens // what was earned at a rate ends with it
+	}
+	e.share.Burst = max(e.share.Burst, granted.Burst)
+	return granted, tokens
+}
+
+// headroomPart is the part of a team's rate that a host gets above its demand.
+const headroomPart = 0.05
+
 // tokenAdvance is the time for which the broker's bucket tops up a host's.
 const tokenAdvance = 500 * time.Millisecond
 
 // target is the host's part of the rate: demands are met from the smallest up,
-// each with at most an even part of what is left; what remains is spread evenly.
+// each with at most an even part of what is left; what remains is spread evenly, up
+// to a headroom. The rest stays with the broker, for hosts whose traffic begins.
 func (l *ledger) target(e *entry, rate float64, activeSince time.Time) float64 {
 	var active []*entry
 	for _, other := range l.entries {
@@ -133,5 +175,6 @@
 			part = met
 		}
 	}
-	return part + left/float64(len(active))
+	headroom := max(e.demand, rate*headroomPart)
+	return part + min(headroom, left/float64(len(active)))
 }
--- a/broker/message.go
+++ b/broker/message.go
@@ -17,10 +17,12 @@
 
 // Want is one team's line in an Ask: what the host holds and could use.
 type Want struct {
-	Team   string            `cbor:"team"`
-	Epoch  catkinrun.Version `cbor:"epoch"` // of the share held
-	Held   Share             `cbor:"held"`
-	Demand float64           `cbor:"demand"` // requests per second that arrive
+	Team     string            `cbor:"team"`
+	Epoch    catkinrun.Version `cbor:"epoch"` // of the share held
+	Held     Share             `cbor:"held"`
+	Demand   float64           `cbor:"demand"`   // requests per second that arrive
+	Waiting  int               `cbor:"waiting"`  // requests that wait for a token now
+	Returned float64           `cbor:"returned"` // unused tokens that go back to the broker
 }
 
 // Ask reports a host's shares and asks for new ones. Answers to an Ask that is
@@ -38,7 +40,7 @@
 		return &catkinrun.InvalidError{Where: "share", Field: "host", Reason: "host and incarnation are needed"}
 	}
 	for _, w := range a.Wants {
-		if !amount(w.Held.Rate) || !amount(w.Held.Burst) || !amount(w.Demand) {
+		if !amount(w.Held.Rate) || !amount(w.Held.Burst) || !amount(w.Demand) || !amount(w.Returned) || w.Waiting < 0 {
 			return &catkinrun.InvalidError{Where: "share " + w.Team, Field: "held", Reason: "expected finite amounts of at least 0"}
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,8 @@
 	idleServer = 400
 	// brokerIdle is the silence after which a host's demand counts as nil.
 	brokerIdle = 5 * time.Second
+	// shareGrace is the life of a share whose broker has changed, unless confirmed.
+	shareGrace = 2 * time.Second
 	// limitWait is the longest wait of a request for its team's token.
 	limitWait = 300 * time.Millisecond
 	// claimWait is the longest wait for a holder of an idempotency key.
@@ -108,9 +110,9 @@
 	d.puller = puller.New(d.replica, d.committer, d.peers, d.clock, d.part("puller"), time.Duration(times.Pull), s.Listen.Peer)
 	d.registrar = registrar.New(store, d.committer, d.replica, d.clock, d.part("registrar"),
 		registrar.Limits{Interval: time.Duration(times.Pull), Silence: time.Duration(times.Silence)}, s.Listen.Peer, operator.NewChangeID)
-	d.broker = broker.New(d.replica, d.clock, d.part("broker"), broker.Limits{Proof: proof, Grace: proof, Idle: brokerIdle})
+	d.broker = broker.New(d.replica, d.clock, d.part("broker"), broker.Limits{Proof: proof, Grace: shareGrace, Idle: brokerIdle})
 	d.limiter = limiter.New(d.replica, d, d.clock, d.part("limiter"),
-		limiter.Limits{Interval: time.Duration(times.Share), Grace: proof, Wait: limitWait})
+		limiter.Limits{Interval: time.Duration(times.Share), Grace: shareGrace, Wait: limitWait})
 	d.deduplicator = deduplicator.New(d.replica, d, d.clock, d.part("deduplicator"),
 		deduplicator.Limits{Retention: time.Duration(times.Retention), Claim: claimWait, Interval: time.Duration(times.Pull)})
 	parts := &filterer.Parts{
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"github.com/catkinrun/catkinrun"
@@ -16,11 +17,17 @@
 	tokens   float64
 	filledAt time.Time
 
-	granted  bool    // a broker has answered in this epoch
-	arrivals float64 // since the last Ask
-	demand   float64 // smoothed requests per second
-	usedAt   time.Time
-	refused  uint64
+	sequence   uint64        // of the last Ask sent; answers to earlier ones are void
+	askedAt    time.Time     // when it was sent
+	spacing    time.Duration // least time until the next one for lack of tokens
+	lacking    bool          // an Ask for lack of tokens is due
+	granted    bool          // a broker has answered in this epoch
+	arrivals   float64       // since the last Ask
+	measuredAt time.Time
+	demand     float64 // smoothed requests per second
+	waiting    int     // requests that wait for a token
+	usedAt     time.Time
+	refused    uint64
 }
 
 // fill adds the tokens earned since the last reading.
@@ -44,6 +51,26 @@
 	b.granted = false
 }
 
+// useUp gives up tokens that came without a rate and that no request waits for, and
+// returns their number.
+func (b *bucket) useUp() float64 {
+	unused := 0.0
+	if b.waiting == 0 {
+		unused = b.tokens
+		b.tokens = 0
+	}
+	b.share.Burst = b.tokens
+	return unused
+}
+
+// space sets the pace of Asks for lack of tokens by what the last one brought.
+func (b *bucket) space(grant broker.Grant, longest time.Duration) {
+	b.spacing = min(max(2*b.spacing, shortestSpacing), longest)
+	if grant.Tokens >= 1 || grant.Share.Rate > b.share.Rate {
+		b.spacing = shortestSpacing
+	}
+}
+
 // take spends one token; otherwise it returns the wait until there is one.
 func (b *bucket) take(now time.Time) (wait time.Duration, ok bool) {
 	b.fill(now)
@@ -57,18 +84,29 @@
 	return time.Duration((1 - b.tokens) / b.share.Rate * float64(time.Second)), false
 }
 
-// measure smooths the demand over one interval.
-func (b *bucket) measure(interval time.Duration) {
-	now := b.arrivals / interval.Seconds()
-	b.demand += demandSmoothing * (now - b.demand)
-	b.arrivals = 0
-	if b.demand < demandFloor {
+// measure notes the demand since the last reading: a rise at once, a fall slowly. A
+// team is idle once no request came for a while.
+func (b *bucket) measure(now time.Time) {
+	elapsed := now.Sub(b.measuredAt)
+	rate := b.arrivals / max(elapsed, shortestMeasure).Seconds()
+	b.demand = max(b.demand, rate)
+	if elapsed >= shortestMeasure {
+		kept := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
+		b.demand = max(rate, kept*b.demand+(1-kept)*rate)
+		b.arrivals = 0
+		b.measuredAt = now
+	}
+	b.demand = max(b.demand, demandFloor)
+	if now.Sub(b.usedAt) > idleTime {
 		b.demand = 0
 	}
 }
 
 const (
-	demandSmoothing = 0.5
-	demandFloor     = 0.02        // requests per second below which a share is given up
-	unknownWait     = time.Second // wait told when no share is known
+	demandMemory    = 200 * time.Millisecond
+	demandFloor     = 0.05            // requests per second of a team that is not idle
+	idleTime        = 3 * time.Second // after which a share is given up
+	unknownWait     = time.Second     // wait told when no share is known
+	shortestMeasure = 100 * time.Millisecond
+	shortestSpacing = 10 * time.Millisecond
 )
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -44,7 +44,6 @@
 
 	mu       sync.Mutex
 	sequence uint64
-	lastAsk  map[string]uint64 // broker host to the sequence of the last Ask sent
 	buckets  map[string]*bucket
 	wake     chan struct{}
 }
@@ -53,7 +52,6 @@
 func New(replica *replicator.Replica, sharer Sharer, clock catkinrun.Clock, log logrus.FieldLogger, limits Limits) *Limiter {
 	return &Limiter{
 		replica: replica, sharer: sharer, clock: clock, log: log, limits: limits,
-		lastAsk: make(map[string]uint64),
 		buckets: make(map[string]*bucket),
 		wake:    make(chan struct{}, 1),
 	}
@@ -62,23 +60,58 @@
 // Take lets one request of a team through, after a short wait if need be. It
 // fails with *catkinrun.Refusal.
 func (l *Limiter) Take(ctx context.Context, team string) error {
-	deadline := l.clock.Now().Add(l.limits.Wait)
 	l.Arrive(team)
+	wait, err := l.TryTake(team)
+	if err == nil || !l.queue(team) {
+		return err
+	}
+	defer l.unqueue(team)
+	deadline := l.clock.Now().Add(l.limits.Wait)
 	for {
-		wait, err := l.TryTake(team)
-		if err == nil {
-			return nil
-		}
 		left := deadline.Sub(l.clock.Now())
-		if left <= 0 || (wait > left && wait != unknownWait) {
+		if left <= 0 || l.clock.Wait(ctx, min(max(wait, shortestWait), left, waitStep)) != nil {
 			return err
 		}
-		if l.clock.Wait(ctx, min(wait, left, waitStep)) != nil {
-			return err
+		if wait, err = l.TryTake(team); err == nil {
+			return nil
 		}
 	}
 }
 
+// queue adds a request to those that wait for a token, unless these use up all that
+// the share earns in the time of a wait.
+func (l *Limiter) queue(team string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.buckets[team]
+	if !ok {
+		return false
+	}
+	room := unknownQueue
+	if b.granted && b.share.Rate > 0 {
+		room = int(b.share.Rate*l.limits.Wait.Seconds()) + 1
+	}
+	if b.waiting >= room {
+		return false
+	}
+	b.waiting++
+	return true
+}
+
+func (l *Limiter) unqueue(team string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, ok := l.buckets[team]; ok {
+		b.waiting--
+	}
+}
+
+// unknownQueue is the number of requests that may wait for a team's first share.
+const unknownQueue = 200
+
+// shortestWait makes sure that a wait ends with some progress.
+const shortestWait = time.Millisecond
+
 // waitStep bounds a wait, since a new share may arrive meanwhile.
 const waitStep = 20 * time.Millisecond
 
@@ -88,17 +121,23 @@
 	defer l.mu.Unlock()
 	b, ok := l.buckets[team]
 	if !ok {
-		b = &bucket{filledAt: l.clock.Now()}
+		b = &bucket{filledAt: l.clock.Now(), measuredAt: l.clock.Now().Add(-shortestMeasure)}
 		l.buckets[team] = b
 	}
 	b.arrivals++
 	b.usedAt = l.clock.Now()
 	if !b.granted {
-		l.wakeLocked()
+		l.wakeLocked(b)
 	}
 }
 
-func (l *Limiter) wakeLocked() {
+// wakeLocked asks for a team soon. A team whose brokers had nothing more to give is
+// asked for less and less often.
+func (l *Limiter) wakeLocked(b *bucket) {
+	if l.clock.Now().Sub(b.askedAt) < b.spacing {
+		return
+	}
+	b.lacking = true
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -128,6 +167,7 @@
 	wait, ok := b.take(l.clock.Now())
 	if !ok {
 		b.refused++
+		l.wakeLocked(b)
 		return wait, refuse(catkinrun.ReasonRate, "the team is above its rate", wait)
 	}
 	return 0, nil
@@ -169,29 +209,33 @@
 	}
 }
 
-// pause waits for the next round, or less if a team without a share turned up.
+// wakeStep is the time between two looks for teams that lack tokens.
+const wakeStep = 5 * time.Millisecond
+
+// pause waits for the next round, and asks meanwhile for the teams that lack tokens.
 func (l *Limiter) pause(ctx context.Context) error {
-	step := l.limits.Interval / roundSteps
-	for range roundSteps {
-		if err := l.clock.Wait(ctx, step); err != nil {
+	until := l.clock.Now().Add(l.limits.Interval)
+	for l.clock.Now().Before(until) {
+		if err := l.clock.Wait(ctx, wakeStep); err != nil {
 			return err
 		}
 		select {
 		case <-l.wake:
-			return nil
+			l.send(ctx, l.asks(func(b *bucket) bool { return b.lacking }))
 		default:
 		}
 	}
 	return nil
 }
 
-// roundSteps is the number of times per interval that a new team is looked for.
-const roundSteps = 10
-
-// Round asks each broker once.
+// Round asks each broker once for all teams in use here.
 func (l *Limiter) Round(ctx context.Context) {
+	l.send(ctx, l.asks(func(*bucket) bool { return true }))
+}
+
+func (l *Limiter) send(ctx context.Context, messages map[string]*broker.Ask) {
 	var asks errgroup.Group
-	for host, ask := range l.asks() {
+	for host, ask := range messages {
 		asks.Go(func() error {
 			l.ask(ctx, host, ask)
 			return nil
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -35,10 +35,22 @@
 	limiter *limiter.Limiter
 }
 
+// stepClock lets the brokers be asked while a request waits.
+type stepClock struct {
+	*clock.Fake
+	waited func()
+}
+
+func (c *stepClock) Wait(ctx context.Context, d time.Duration) error {
+	c.Advance(d)
+	c.waited()
+	return ctx.Err()
+}
+
 // fleet is a log, nodes, and an oracle: the bucket that the team declared, which
 // every request let through anywhere is taken from.
 type fleet struct {
-	clock  *clock.Fake
+	clock  *stepClock
 	log    []catkinrun.Change
 	nodes  []*node
 	waits  []func()
@@ -56,7 +68,8 @@
 }
 
 func newFleet(size int, rate, burst float64) *fleet {
-	f := &fleet{clock: clock.NewFake(), rate: rate, burst: burst, tokens: burst}
+	f := &fleet{rate: rate, burst: burst, tokens: burst}
+	f.clock = &stepClock{Fake: clock.NewFake(), waited: f.round}
 	f.filled = f.clock.Now()
 	f.append(catkinrun.Mutation{Resource: catkinrun.Resource{
 		Kind: catkinrun.KindTeam, Name: teamName, Team: &catkinrun.Team{Rate: rate, Burst: burst},
@@ -78,7 +91,7 @@
 	identity := replicator.Identity{Host: n.name, Zone: "zone", Incarnation: fmt.Sprint(n.inc)}
 	n.replica = replicator.New(identity, replicator.Limits{Proof: proof, Report: proof * 3 / 4}, f.clock)
 	n.broker = broker.New(n.replica, f.clock, quiet(), broker.Limits{Proof: proof, Grace: proof, Idle: 5 * time.Second})
-	n.limiter = limiter.New(n.replica, &wire{fleet: f, from: n}, f.clock, quiet(), limiter.Limits{Interval: interval, Grace: proof})
+	n.limiter = limiter.New(n.replica, &wire{fleet: f, from: n}, f.clock, quiet(), limiter.Limits{Interval: interval, Grace: proof, Wait: 60 * time.Millisecond})
 }
 
 // join puts the node's incarnation on the roster once the change before is accepted.
@@ -110,7 +123,8 @@
 // acceptedRoster reports whether a next roster change may be made.
 func (f *fleet) acceptedRoster() bool {
 	for _, n := range f.nodes {
-		if _, _, ok := n.replica.RosterAcceptedFor(); ok && n.replica.Snapshot().Version() == catkinrun.Version(len(f.log)) {
+		snapshot := n.replica.Snapshot()
+		if n.replica.Accepted() >= snapshot.RosterVersion() && snapshot.Version() == catkinrun.Version(len(f.log)) {
 			return true
 		}
 	}
@@ -161,6 +175,17 @@
 	f.over = max(f.over, -f.tokens)
 }
 
+// wait lets a caller try at a node and wait a little; it reports whether it passed.
+func (f *fleet) wait(n *node) bool {
+	passed := n.limiter.Take(context.Background(), teamName) == nil
+	f.request(n, 0)
+	if passed {
+		f.tokens--
+		f.over = max(f.over, -f.tokens)
+	}
+	return passed
+}
+
 // rounding allows for the rounding of sums of shares, in requests.
 const rounding = 1e-6
 
@@ -198,7 +223,8 @@
 
 func TestNeverMoreThanRateAndBurst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(3, 100, 20)
+		rate := rapid.SampledFrom([]float64{100, 4}).Draw(t, "rate") // divided, and not
+		f := newFleet(3, rate, rate/5+2)
 		index := rapid.IntRange(0, 2)
 		t.Repeat(map[string]func(*rapid.T){
 			"": f.check,
@@ -216,6 +242,12 @@
 			"requests": func(t *rapid.T) {
 				f.request(f.nodes[index.Draw(t, "host")], rapid.IntRange(1, 40).Draw(t, "times"))
 			},
+			"requests wait": func(t *rapid.T) {
+				n := f.nodes[index.Draw(t, "host")]
+				for range rapid.IntRange(1, 10).Draw(t, "times") {
+					f.wait(n)
+				}
+			},
 			"all request": func(*rapid.T) {
 				for range 5 {
 					for _, n := range f.nodes {
@@ -255,18 +287,84 @@
 	for range 100 { // 80 % of the rate, all at one host
 		f.clock.Advance(interval)
 		f.spread()
-		f.round()
 		for range 40 {
 			f.nodes[0].limiter.Arrive(teamName)
 			if _, err := f.nodes[0].limiter.TryTake(teamName); err != nil {
 				refused++
 			}
 		}
+		f.round()
 	}
 	is.True(before <= f.burst)
 	is.Equal(refused, 0) // of 4,000
 }
 
+func TestColdStartAtAllHostsIsServed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 100, 50)
+	for range 40 { // idle until the owner has waited out earlier epochs
+		f.clock.Advance(interval)
+		f.spread()
+		f.nodes[0].limiter.Arrive(teamName)
+		f.round()
+	}
+	refused := 0
+	for step := range 30 { // a fifth of the rate at each host, all at once
+		for _, n := range f.nodes {
+			n.limiter.Arrive(teamName)
+			if step == 0 {
+				n.limiter.Round(context.Background())
+			}
+			if _, err := n.limiter.TryTake(teamName); err != nil {
+				refused++
+			}
+		}
+		if step%10 == 9 {
+			f.round()
+		}
+		f.clock.Advance(50 * time.Millisecond)
+		f.spread()
+	}
+	is.Equal(refused, 0) // of 90
+}
+
+func TestSmallTeamGetsItsWholeRateThroughManyHosts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 4, 4) // two thirds of a request a second for each host
+	for range 40 {
+		f.clock.Advance(interval)
+		f.spread()
+		f.round()
+	}
+	passed := 0
+	begun := f.clock.Now()
+	for i := 0; f.clock.Now().Sub(begun) < 30*time.Second; i++ {
+		if f.wait(f.nodes[i%6]) {
+			passed++
+		}
+		f.clock.Advance(100 * time.Millisecond)
+		f.spread()
+	}
+	is.True(passed >= 114) // 95 % of 4 a second for 30 s
+	is.True(f.over <= rounding)
+}
+
+func TestFirstRequestOfATeamWaitsForNoEpoch(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 100, 50)
+	for range 40 { // the roster rests, and no request of the team came yet
+		f.clock.Advance(interval)
+		f.spread()
+	}
+	n := f.nodes[1]
+	n.limiter.Arrive(teamName)
+	n.limiter.Round(context.Background())
+	f.clock.Advance(interval)
+	f.spread()
+	_, err := n.limiter.TryTake(teamName)
+	is.NoErr(err)
+}
+
 func TestSharesHoldOverWhileTheBrokerIsAway(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3, 100, 50)
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -85,8 +85,8 @@
 		Times: Times{
 			Pull:      catkinrun.Duration(500 * time.Millisecond),
 			Proof:     catkinrun.Duration(4 * time.Second),
-			Silence:   catkinrun.Duration(10 * time.Second),
-			Share:     catkinrun.Duration(500 * time.Millisecond),
+			Silence:   catkinrun.Duration(6 * time.Second),
+			Share:     catkinrun.Duration(250 * time.Millisecond),
 			Retention: catkinrun.Duration(15 * time.Minute),
 			Drain:     catkinrun.Duration(3 * time.Second),
 			Store:     catkinrun.Duration(2 * time.Second),
--- a/replicator/count.go
+++ b/replicator/count.go
@@ -1,7 +1,6 @@
 package replicator
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -43,15 +42,19 @@
 			}
 		}
 	}
+	for i, t := range r.merged {
+		r.merged[i].Tally = renumber(t.Tally, r.snapshot, next)
+	}
+	r.kept = keptVotes(next)
 }
 
 // singleLocked is the tally of one host of the own zone. The vote belongs to the
 // incarnation on the roster; a restarted daemon is seen, and its server may be
 // ready, but it has no vote until the roster names the new incarnation.
 func (r *Replica) singleLocked(host, incarnation string, held catkinrun.Version, service string) (Tally, bool) {
-	index := slices.Index(r.snapshot.ZoneHosts(r.identity.Zone), host)
+	index, found := slices.BinarySearch(r.snapshot.ZoneHosts(r.identity.Zone), host)
 	entry, ok := r.snapshot.Host(host)
-	if index < 0 || !ok {
+	if !found || !ok {
 		return Tally{}, false
 	}
 	t := Tally{Zone: r.identity.Zone, Roster: r.snapshot.RosterVersion(), Held: held}
@@ -94,16 +97,11 @@
 }
 
 func (r *Replica) zoneLocked(zone string) []dated {
-	r.views[zone] = r.freshLocked(r.views[zone])
-	tallies := slices.Clone(r.views[zone])
-	if zone == r.identity.Zone {
-		tallies = append(tallies, r.ownZoneLocked()...)
-	}
-	merged := cover(tallies)
+	r.views[zone] = cover(r.freshLocked(r.views[zone]))
 	if zone != r.identity.Zone {
-		r.views[zone] = slices.Clone(merged)
+		return r.views[zone]
 	}
-	return merged
+	return cover(append(slices.Clone(r.views[zone]), r.ownZoneLocked()...))
 }
 
 func (r *Replica) ownZoneLocked() []dated {
@@ -132,89 +130,97 @@
 	r.countLocked()
 }
 
-// countLocked derives acceptance and proof from the votes.
+// countLocked merges what is known of all zones, and derives acceptance and proof
+// from the votes.
 func (r *Replica) countLocked() {
-	view := r.viewLocked()
-	r.acceptByVotesLocked(view)
-	r.proveByVotesLocked(view)
+	r.merged = r.viewLocked()
+	r.acceptByVotesLocked(r.merged)
+	r.proveByVotesLocked(r.merged)
 }
 
-// acceptByVotesLocked finds the highest version that majorities of the current
-// and of the previous roster hold.
+// acceptByVotesLocked finds the highest version that majorities of the current and
+// of the previous roster hold.
 func (r *Replica) acceptByVotesLocked(view []dated) {
-	current := r.snapshot.Roster()
-	previous := r.snapshot.PreviousRoster()
-	var versions []catkinrun.Version
-	for _, t := range view {
-		versions = append(versions, t.Held)
-	}
-	slices.Sort(versions)
-	slices.Reverse(versions)
-	for _, v := range versions {
+	for _, v := range versions(view) {
 		if v <= r.accepted || v > r.snapshot.Version() || v < r.snapshot.RosterVersion() {
 			continue
 		}
-		holders := r.votersLocked(view, func(t dated) bool { return t.Held >= v })
-		if majority(holders, current) && majority(holders, previous) {
+		current, previous := r.votesLocked(view, func(t dated) bool { return t.Held >= v })
+		if majority(current, r.snapshot.Count(catkinrun.KindHost)) && majority(previous, len(r.snapshot.PreviousRoster())) {
 			r.acceptLocked(v)
 			return
 		}
 	}
 }
 
-// proveByVotesLocked renews the proof if a majority reported, lately, nothing
-// above the version held. The proof is as old as the oldest report it rests on.
-func (r *Replica) proveByVotesLocked(view []dated) {
-	voters := r.votersLocked(view, func(t dated) bool { return t.Held <= r.snapshot.Version() })
-	total := r.votersLocked(view, func(dated) bool { return true })
-	if len(voters) < len(total) || !majority(voters, r.snapshot.Roster()) {
-		return
+// versions returns the versions in a view, the highest first.
+func versions(view []dated) []catkinrun.Version {
+	var list []catkinrun.Version
+	for _, t := range view {
+		list = append(list, t.Held)
 	}
-	r.proveLocked(r.oldestNeededLocked(view))
+	slices.Sort(list)
+	slices.Reverse(list)
+	return slices.Compact(list)
 }
 
-// oldestNeededLocked dates the freshest majority in the view.
-func (r *Replica) oldestNeededLocked(view []dated) time.Time {
+// proveByVotesLocked renews the proof if a majority reported lately, and nobody
+// reported a version above the one held. The proof is as old as the oldest report
+// that it rests on.
+func (r *Replica) proveByVotesLocked(view []dated) {
 	byAge := slices.Clone(view)
 	slices.SortFunc(byAge, func(a, b dated) int { return b.at.Compare(a.at) })
+	roster := r.snapshot.Count(catkinrun.KindHost)
 	votes := 0
+	var oldest time.Time
 	for _, t := range byAge {
-		votes += t.Voters.Count()
-		if votes*2 > r.snapshot.Count(catkinrun.KindHost) {
-			return t.at
+		if t.Held > r.snapshot.Version() {
+			return
+		}
+		if !majority(votes, roster) {
+			votes += t.Voters.Count()
+			oldest = t.at
 		}
 	}
-	return time.Time{}
+	if roster > 0 && majority(votes, roster) {
+		r.proveLocked(oldest)
+	}
 }
 
-// votersLocked returns the votes, host to incarnation, in the chosen tallies.
-func (r *Replica) votersLocked(view []dated, choose func(dated) bool) map[string]string {
-	voters := make(map[string]string)
+// votesLocked counts the votes in the chosen tallies, of the current roster, and
+// those of them that the previous roster names too.
+func (r *Replica) votesLocked(view []dated, choose func(dated) bool) (current, previous int) {
 	for _, t := range view {
-		if !choose(t) {
-			continue
-		}
-		for i, host := range r.snapshot.ZoneHosts(t.Zone) {
-			if entry, ok := r.snapshot.Host(host); ok && t.Voters.Has(i) {
-				voters[host] = entry.Incarnation
-			}
+		if choose(t) {
+			current += t.Voters.Count()
+			previous += t.Voters.And(r.kept[t.Zone]).Count()
 		}
 	}
-	return voters
+	return current, previous
 }
 
-// majority reports whether more than half of the roster's votes are among the
-// voters. An empty roster needs no votes.
-func majority(voters, roster map[string]string) bool {
-	votes := 0
-	for host, incarnation := range roster {
-		if voters[host] == incarnation {
-			votes++
+// keptVotes returns, by zone, the members that the previous roster names in the same
+// incarnation.
+func keptVotes(s *catkinrun.Snapshot) map[string]Bitmap {
+	kept := make(map[string]Bitmap)
+	previous := s.PreviousRoster()
+	for _, zone := range s.Zones() {
+		hosts := s.ZoneHosts(zone)
+		set := make(Bitmap, len(hosts)/8+1)
+		for i, name := range hosts {
+			if host, _ := s.Host(name); previous[name] == host.Incarnation {
+				set[i/8] |= 1 << (i % 8)
+			}
 		}
+		kept[zone] = set
 	}
-	return votes*2 > len(roster) || len(roster) == 0
+	return kept
 }
 
+// majority reports whether the votes are more than half of a roster. An empty roster
+// needs no votes.
+func majority(votes, roster int) bool { return votes*2 > roster || roster == 0 }
+
 // Status is what is known of one host of the roster.
 type Status struct {
 	Name  string            `json:"name"`
@@ -229,39 +235,50 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	statuses := make(map[string]Status)
-	for _, entry := range r.snapshot.List(catkinrun.KindHost) {
-		statuses[entry.Name] = Status{Name: entry.Name, Host: *entry.Host}
-	}
-	for _, t := range r.viewLocked() {
-		for i, host := range r.snapshot.ZoneHosts(t.Zone) {
-			if t.Seen.Has(i) {
-				status := statuses[host]
-				status.Seen = true
-				status.Ready = t.Ready.Has(i)
-				status.Held = t.Held
-				statuses[host] = status
-			}
+	for _, zone := range r.snapshot.Zones() {
+		for i, name := range r.snapshot.ZoneHosts(zone) {
+			statuses[name] = r.statusLocked(name, zone, i)
 		}
 	}
 	return statuses
 }
 
-// Connected reports whether a majority of the votes was heard lately. Only then
-// may hosts that are silent be taken off the roster.
-func (r *Replica) Connected() bool {
+// Ready returns the hosts of a service that are ready for new work, sorted by name.
+func (r *Replica) Ready(service string) []Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	voters := r.votersLocked(r.viewLocked(), func(dated) bool { return true })
-	return majority(voters, r.snapshot.Roster())
+	var ready []Status
+	for _, name := range r.snapshot.View(service).Hosts {
+		host, _ := r.snapshot.Host(name)
+		i, _ := slices.BinarySearch(r.snapshot.ZoneHosts(host.Zone), name)
+		if status := r.statusLocked(name, host.Zone, i); status.Ready {
+			ready = append(ready, status)
+		}
+	}
+	return ready
 }
 
-// Services returns the sorted names of services with hosts.
-func (r *Replica) Services() []string {
-	services := make(map[string]bool)
-	for _, entry := range r.Snapshot().List(catkinrun.KindHost) {
-		if entry.Host.Service != "" {
-			services[entry.Host.Service] = true
+// statusLocked returns the status of the i-th host of a zone, as it was counted last.
+func (r *Replica) statusLocked(name, zone string, i int) Status {
+	host, _ := r.snapshot.Host(name)
+	status := Status{Name: name, Host: host}
+	oldest := r.clock.Now().Add(-r.limits.Report)
+	for _, t := range r.merged {
+		if t.Zone == zone && t.Seen.Has(i) && !t.at.Before(oldest) {
+			status.Seen = true
+			status.Ready = t.Ready.Has(i)
+			status.Held = t.Held
 		}
 	}
-	return slices.Sorted(maps.Keys(services))
+	return status
+}
+
+// Connected reports whether a majority of the votes was heard lately. Only then
+// may hosts that are silent be taken off the roster.
+func (r *Replica) Connected() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.countLocked()
+	votes, _ := r.votesLocked(r.merged, func(dated) bool { return true })
+	return majority(votes, r.snapshot.Count(catkinrun.KindHost))
 }
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -41,10 +41,12 @@
 	proofAt    time.Time // zero without proof
 	lapses     uint64    // times that the proof ran out and was renewed
 	accepted   catkinrun.Version
-	acceptedAt time.Time // when the last roster change was first known as accepted
-	service    string    // service of the ready server beside this daemon
+	acceptance []acceptance // when versions were first known as accepted, oldest first
+	service    string       // service of the ready server beside this daemon
 	children   map[string][]dated
 	views      map[string][]dated // other zones, and the own zone as parents saw it
+	merged     []dated            // all zones, as they were counted last
+	kept       map[string]Bitmap  // by zone, members with the same vote in the previous roster
 	changed    chan struct{}
 	observers  []func(*catkinrun.Snapshot)
 }
@@ -92,16 +94,26 @@
 	return r.accepted
 }
 
-// RosterAcceptedFor returns the version of the last roster change and how long
-// its acceptance has been known here; ok is false before it is accepted.
-func (r *Replica) RosterAcceptedFor() (version catkinrun.Version, age time.Duration, ok bool) {
+// acceptance says since when a version is known to be accepted.
+type acceptance struct {
+	version catkinrun.Version
+	at      time.Time
+}
+
+// keptAcceptances bounds the list; the oldest entry stands for all before it.
+const keptAcceptances = 64
+
+// AcceptedFor returns how long a version has been known here to be accepted; ok is
+// false before it is.
+func (r *Replica) AcceptedFor(v catkinrun.Version) (age time.Duration, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	version = r.snapshot.RosterVersion()
-	if r.accepted < version {
-		return version, 0, false
+	for _, a := range r.acceptance {
+		if a.version >= v {
+			return r.clock.Now().Sub(a.at), true
+		}
 	}
-	return version, r.clock.Now().Sub(r.acceptedAt), true
+	return 0, v == 0
 }
 
 // Changed returns a channel that closes at the next change of the configuration.
@@ -268,7 +280,7 @@
 	answer := Answer{
 		Version:  r.snapshot.Version(),
 		Accepted: r.accepted,
-		Tallies:  r.agedLocked(r.viewLocked()),
+		Tallies:  r.agedLocked(r.merged),
 	}
 	answer.ProofAge, answer.Proven = r.proofAgeLocked()
 	r.fillLocked(&answer, ask.Held)
@@ -315,9 +327,12 @@
 }
 
 func (r *Replica) acceptLocked(v catkinrun.Version) {
-	roster := r.snapshot.RosterVersion()
-	if r.accepted < roster && v >= roster {
-		r.acceptedAt = r.clock.Now()
+	if v <= r.accepted {
+		return
+	}
+	r.accepted = v
+	r.acceptance = append(r.acceptance, acceptance{version: v, at: r.clock.Now()})
+	if len(r.acceptance) > keptAcceptances {
+		r.acceptance = slices.Clone(r.acceptance[1:])
 	}
-	r.accepted = max(r.accepted, v)
 }
--- a/replicator/tally.go
+++ b/replicator/tally.go
@@ -45,6 +45,15 @@
 	return next
 }
 
+// And returns the members that are in both sets.
+func (b Bitmap) And(other Bitmap) Bitmap {
+	both := make(Bitmap, min(len(b), len(other)))
+	for i := range both {
+		both[i] = b[i] & other[i]
+	}
+	return both
+}
+
 // Count returns the number of members.
 func (b Bitmap) Count() int {
 	count := 0
--- a/replicator/tree.go
+++ b/replicator/tree.go
@@ -13,12 +13,6 @@
 	fanOut = 8
 )
 
-// ranking orders a zone's hosts by rendezvous hashing, so that all hosts with
-// one roster agree on the tree and a lost host moves only its own children.
-func ranking(s *catkinrun.Snapshot, zone string) []string {
-	return catkinrun.Rendezvous("zone "+zone, s.ZoneHosts(zone))
-}
-
 // Tree is a host's place in the distribution of configuration.
 type Tree struct {
 	Root    bool     // reads the store
@@ -28,7 +22,7 @@
 
 // Place returns a host's place in the tree of its zone.
 func Place(s *catkinrun.Snapshot, name, zone string) Tree {
-	ranks := ranking(s, zone)
+	ranks := s.Ranking(zone)
 	rank := slices.Index(ranks, name)
 	tree := Tree{Root: rank >= 0 && rank < rootCount}
 	for i, host := range ranks {
@@ -52,7 +46,7 @@
 		if other == zone {
 			continue
 		}
-		ranks := ranking(s, other)
+		ranks := s.Ranking(other)
 		first = append(first, ranks[0])
 		if len(ranks) > 1 {
 			second = append(second, ranks[1])
--- a/router/router.go
+++ b/router/router.go
@@ -34,7 +34,8 @@
 
 // Holder tells which hosts are ready.
 type Holder interface {
-	Hosts() map[string]replicator.Status
+	Ready(service string) []replicator.Status
+	Snapshot() *catkinrun.Snapshot
 }
 
 // server is what this daemon knows of one backend server.
@@ -59,9 +60,15 @@
 
 	mu       sync.Mutex
 	servers  map[string]*server
-	statuses map[string]replicator.Status
-	services map[string][]string // ready hosts by service, sorted
-	readAt   time.Time
+	services map[string]*reading
+}
+
+// reading is the ready hosts of a service at some time.
+type reading struct {
+	at    time.Time
+	hosts []string // sorted
+	zones map[string]string
+	slots map[string]int
 }
 
 // New returns a router for the daemon at host self in a zone. random makes the
@@ -69,7 +76,7 @@
 func New(holder Holder, clock catkinrun.Clock, log logrus.FieldLogger, self, zone string, random *rand.Rand) *Router {
 	return &Router{
 		holder: holder, clock: clock, log: log, self: self, zone: zone, random: random,
-		servers: make(map[string]*server),
+		servers: make(map[string]*server), services: make(map[string]*reading),
 	}
 }
 
@@ -78,25 +85,22 @@
 func (r *Router) Pick(service string, tried []string) (host string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readLocked()
-	candidates := r.candidatesLocked(service, tried)
+	ready := r.readLocked(service)
+	candidates := r.candidatesLocked(ready, tried)
 	if len(candidates) == 0 {
 		return "", false
 	}
-	host = r.lighterLocked(candidates)
+	host = r.lighterLocked(ready, candidates)
 	r.log.WithFields(logrus.Fields{
-		"service": service, "host": host, "among": len(candidates), "load": r.loadLocked(host), "tried": len(tried),
+		"service": service, "host": host, "among": len(candidates), "load": r.loadLocked(ready, host), "tried": len(tried),
 	}).Debug("router: host chosen")
 	return host, true
 }
 
 // Address returns the peer address of a host.
 func (r *Router) Address(host string) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.readLocked()
-	status, ok := r.statuses[host]
-	return status.Host.Peer, ok
+	entry, ok := r.holder.Snapshot().Host(host)
+	return entry.Peer, ok
 }
 
 // Started records that a request goes to the host.
@@ -145,30 +149,26 @@
 	return s
 }
 
-// readLocked takes a fresh reading of the hosts' status now and then.
-func (r *Router) readLocked() {
+// readLocked returns a service's ready hosts, read anew now and then.
+func (r *Router) readLocked(service string) *reading {
 	now := r.clock.Now()
-	if r.statuses != nil && now.Sub(r.readAt) < statusLife {
-		return
-	}
-	first := r.statuses == nil
-	r.statuses = r.holder.Hosts()
-	r.readAt = now
-	r.services = make(map[string][]string)
-	for name, status := range r.statuses {
-		if !status.Ready {
-			continue
-		}
-		r.services[status.Host.Service] = append(r.services[status.Host.Service], name)
-		r.welcomeLocked(name, status.Host.Incarnation, first)
+	old := r.services[service]
+	if old != nil && now.Sub(old.at) < statusLife {
+		return old
 	}
-	for _, hosts := range r.services {
-		slices.Sort(hosts)
+	next := &reading{at: now, zones: make(map[string]string), slots: make(map[string]int)}
+	for _, status := range r.holder.Ready(service) {
+		next.hosts = append(next.hosts, status.Name)
+		next.zones[status.Name] = status.Host.Zone
+		next.slots[status.Name] = status.Host.Slots
+		r.welcomeLocked(status.Name, status.Host.Incarnation, old == nil)
 	}
+	r.services[service] = next
+	return next
 }
 
 // welcomeLocked starts the slow start of a new incarnation. Servers that were
-// ready before this daemon started count as warm.
+// ready at this daemon's first reading count as warm.
 func (r *Router) welcomeLocked(host, incarnation string, warm bool) {
 	s := r.serverLocked(host)
 	if s.incarnation == incarnation {
@@ -185,16 +185,15 @@
 
 // candidatesLocked returns the own zone's servers, or all if that zone has none
 // with room. Servers put aside come back if they are half of the service or more.
-func (r *Router) candidatesLocked(service string, tried []string) []string {
-	ready := r.services[service]
-	untried := without(ready, func(h string) bool { return slices.Contains(tried, h) })
+func (r *Router) candidatesLocked(ready *reading, tried []string) []string {
+	untried := without(ready.hosts, func(h string) bool { return slices.Contains(tried, h) })
 	now := r.clock.Now()
 	sound := without(untried, func(h string) bool { return r.servers[h].asideUntil.After(now) })
 	if len(sound)*2 < len(untried) {
 		sound = untried
 	}
-	near := without(sound, func(h string) bool { return r.statuses[h].Host.Zone != r.zone })
-	roomy := slices.ContainsFunc(near, func(h string) bool { return r.loadLocked(h) < spillLoad })
+	near := without(sound, func(h string) bool { return ready.zones[h] != r.zone })
+	roomy := slices.ContainsFunc(near, func(h string) bool { return r.loadLocked(ready, h) < spillLoad })
 	if roomy {
 		return near
 	}
@@ -206,10 +205,10 @@
 }
 
 // lighterLocked makes two random choices and takes the one with less load.
-func (r *Router) lighterLocked(hosts []string) string {
+func (r *Router) lighterLocked(ready *reading, hosts []string) string {
 	a := hosts[r.random.IntN(len(hosts))]
 	b := hosts[r.random.IntN(len(hosts))]
-	if r.loadLocked(b) < r.loadLocked(a) {
+	if r.loadLocked(ready, b) < r.loadLocked(ready, a) {
 		return b
 	}
 	return a
@@ -217,9 +216,9 @@
 
 // loadLocked is the part of a server's slots in use: the larger of its own last
 // word and of what is in flight from here.
-func (r *Router) loadLocked(host string) float64 {
+func (r *Router) loadLocked(ready *reading, host string) float64 {
 	s := r.serverLocked(host)
-	slots := float64(max(1, r.statuses[host].Host.Slots))
+	slots := float64(max(1, ready.slots[host]))
 	warmth := float64(r.clock.Now().Sub(s.readyAt)) / float64(slowStart)
 	weight := min(1, coldWeight+(1-coldWeight)*warmth)
 	load := float64(s.inFlight) / slots
--- a/snapshot.go
+++ b/snapshot.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 )
 
 // Snapshot is the whole declared configuration at one version. It is immutable;
@@ -17,7 +18,8 @@
 	previousRoster map[string]string // votes before the last roster change
 	views          map[string]View
 	zones          map[string][]string // host names by zone, sorted
-	owners         []Owner             // by shard
+	rankings       *rankings
+	owners         []Owner // by shard
 }
 
 // View is a service's set of hosts and the version that last changed it.
@@ -45,6 +47,7 @@
 		keysByHash: make(map[string]string),
 		views:      make(map[string]View),
 		owners:     make([]Owner, shardCount),
+		rankings:   &rankings{zones: make(map[string][]string)},
 	}
 	for _, kind := range Kinds {
 		s.resources[kind] = make(map[string]Resource)
@@ -240,7 +243,7 @@
 		next.index()
 	}
 	if touched[KindHost] {
-		next.views = s.nextViews(&next)
+		next.views = s.nextViews(&next, c)
 		next.owners = s.nextOwners(&next)
 		next.indexZones()
 	}
@@ -269,37 +272,51 @@
 	})
 }
 
-// nextViews keeps the views whose hosts and incarnations stay, and dates the others.
-func (s *Snapshot) nextViews(next *Snapshot) map[string]View {
-	views := make(map[string]View, len(s.views))
-	after := next.hostsByService()
-	before := s.hostsByService()
-	for service, hosts := range after {
-		view := s.views[service]
-		if !slices.Equal(before[service], hosts) {
-			view = View{Version: next.version, Hosts: names(hosts), PreviousVersion: view.Version, Previous: view.Hosts}
+// nextViews dates the views of the services whose hosts the change touches, if their
+// hosts or incarnations differ, and keeps the others.
+func (s *Snapshot) nextViews(next *Snapshot, c Change) map[string]View {
+	views := maps.Clone(s.views)
+	touched := touchedServices(s, next, c)
+	before := s.hostsByService(touched)
+	after := next.hostsByService(touched)
+	for service := range touched {
+		old := s.views[service]
+		if !slices.Equal(before[service], after[service]) {
+			views[service] = View{
+				Version: next.version, Hosts: names(after[service]),
+				PreviousVersion: old.Version, Previous: old.Hosts,
+			}
 		}
-		views[service] = view
 	}
-	for service, view := range s.views {
-		if _, ok := after[service]; !ok && len(view.Hosts) == 0 {
-			views[service] = view
-		} else if !ok {
-			views[service] = View{Version: next.version, PreviousVersion: view.Version, Previous: view.Hosts}
+	return views
+}
+
+// touchedServices returns the services that the changed hosts serve before or after.
+func touchedServices(before, after *Snapshot, c Change) map[string]bool {
+	touched := make(map[string]bool)
+	for _, m := range c.Mutations {
+		for _, s := range []*Snapshot{before, after} {
+			if host, ok := s.Host(m.Resource.Name); ok && m.Resource.Kind == KindHost && host.Service != "" {
+				touched[host.Service] = true
+			}
 		}
 	}
-	return views
+	return touched
 }
 
 type member struct{ name, incarnation string }
 
-func (s *Snapshot) hostsByService() map[string][]member {
+// hostsByService returns the hosts of the named services, sorted by name.
+func (s *Snapshot) hostsByService(services map[string]bool) map[string][]member {
 	hosts := make(map[string][]member)
-	for _, r := range s.List(KindHost) {
-		if r.Host.Service != "" {
-			hosts[r.Host.Service] = append(hosts[r.Host.Service], member{r.Name, r.Host.Incarnation})
+	for name, r := range s.resources[KindHost] {
+		if services[r.Host.Service] {
+			hosts[r.Host.Service] = append(hosts[r.Host.Service], member{name, r.Host.Incarnation})
 		}
 	}
+	for _, list := range hosts {
+		slices.SortFunc(list, func(a, b member) int { return strings.Compare(a.name, b.name) })
+	}
 	return hosts
 }
 
@@ -317,7 +334,29 @@
 // ZoneHosts returns the sorted names of a zone's hosts. The caller must not change it.
 func (s *Snapshot) ZoneHosts(zone string) []string { return s.zones[zone] }
 
+// Ranking returns a zone's hosts in the order in which they distribute the change
+// log to each other. The caller must not change it.
+func (s *Snapshot) Ranking(zone string) []string { return s.rankings.of(zone, s.zones[zone]) }
+
+// rankings remembers the zones' rankings, which many calls need and few changes move.
+type rankings struct {
+	mu    sync.Mutex
+	zones map[string][]string
+}
+
+func (r *rankings) of(zone string, hosts []string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ranked, ok := r.zones[zone]
+	if !ok {
+		ranked = Rendezvous("zone "+zone, hosts)
+		r.zones[zone] = ranked
+	}
+	return ranked
+}
+
 func (s *Snapshot) indexZones() {
+	s.rankings = &rankings{zones: make(map[string][]string)}
 	s.zones = make(map[string][]string)
 	for name, r := range s.resources[KindHost] {
 		s.zones[r.Host.Zone] = append(s.zones[r.Host.Zone], name)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -88,14 +89,21 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /control", b.control)
 	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(b.report)
+		_ = json.NewEncoder(w).Encode(b.Report())
 	})
 	mux.HandleFunc("/", b.serve)
 	return mux
 }
 
+// Report returns what the server saw.
+func (b *Backend) Report() Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	report := b.report
+	report.Runs = maps.Clone(b.report.Runs)
+	return report
+}
+
 // Serve announces the server until ctx ends. It implements suture.Service.
 func (b *Backend) Serve(ctx context.Context) error {
 	for {
@@ -225,3 +233,6 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return err == nil && response.StatusCode == http.StatusOK
 }
+
+// Service returns the service that the server serves.
+func (b *Backend) Service() string { return b.settings.Service }
