Overload: refusals carry the level; a standing queue is what counts; steadier demand

(1) Only answers carried the admission level up. A refusal deep down did not, so the entries went on sending what was going to fail. (2) Any mean wait above 10 ms counted as overload; the end of a burst has one. (3) Load on a server that refused was not noted, so the router came back. (4) The load generator sent all streams in step. (5) A team's lesser requests used up its bucket before its important ones.

The change: refusals carry the level and count as full load for the router; a queue is standing only if every request of two windows waited 5 ms; a shed request may try one other server; a part of each bucket is kept for higher priorities; demand is smoothed by evidence; requests come with random gaps (fixed seed).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -178,6 +178,7 @@
 	}).Debug("admitter: request shed")
 	return &catkinrun.Refusal{
 		Status: 503, Reason: reason, Outcome: catkinrun.NotRun, RetryAfter: retryAfter, Detail: detail,
+		Level: a.level.rank(),
 	}
 }
 
--- a/admitter/level.go
+++ b/admitter/level.go
@@ -9,8 +9,9 @@
 const (
 	// levelWindow is the time over which arrivals are counted for one level.
 	levelWindow = 100 * time.Millisecond
-	// delayTarget is the mean wait in the queue above which the server is overloaded.
-	delayTarget = 10 * time.Millisecond
+	// delayTarget is the least wait of a window above which its queue is a standing
+	// one, and not the end of a burst.
+	delayTarget = 5 * time.Millisecond
 	// cutRatio is the part of the admitted load that an overloaded window cuts.
 	cutRatio = 0.1
 	// regainSteps is the number of buckets by which a window without overload lowers
@@ -30,10 +31,11 @@
 type level struct {
 	startedAt time.Time
 	arrivals  [bucketCount]int // by rank, in this window
-	waits     time.Duration
+	leastWait time.Duration
 	started   int
-	shed      int // refused for a full queue or a wait that ran out
-	bucket    int // buckets below this one are refused
+	standing  bool // the window before had a standing queue
+	shed      int  // refused for a full queue or a wait that ran out
+	bucket    int  // buckets below this one are refused
 }
 
 func (l *level) rank() int { return l.bucket * rankBucket }
@@ -43,7 +45,9 @@
 
 // ran counts a request that got a slot after a wait.
 func (l *level) ran(wait time.Duration) {
-	l.waits += wait
+	if l.started == 0 || wait < l.leastWait {
+		l.leastWait = wait
+	}
 	l.started++
 }
 
@@ -57,21 +61,18 @@
 	if windows == 0 {
 		return
 	}
-	if l.overloaded() {
+	standing := l.started > 0 && l.leastWait > delayTarget
+	if l.shed > 0 || (standing && l.standing) {
 		l.cut()
 	} else {
 		l.regain()
 	}
-	*l = level{startedAt: now, bucket: l.bucket}
+	*l = level{startedAt: now, bucket: l.bucket, standing: standing}
 	for range min(windows-1, bucketCount) {
 		l.regain()
 	}
 }
 
-func (l *level) overloaded() bool {
-	return l.shed > 0 || (l.started > 0 && l.waits/time.Duration(l.started) > delayTarget)
-}
-
 // cut raises the level until a part of the arrivals above it falls below.
 func (l *level) cut() {
 	goal := max(1, int(cutRatio*float64(l.above())))
--- a/broker/ledger.go
+++ b/broker/ledger.go
@@ -144,6 +144,9 @@
 // headroomPart is the part of a team's rate that a host gets above its demand.
 const headroomPart = 0.05
 
+// spreadPart is the part of what no demand needs that is spread as headroom.
+const spreadPart = 0.7
+
 // tokenAdvance is the time for which the broker's bucket tops up a host's.
 const tokenAdvance = 500 * time.Millisecond
 
@@ -176,5 +179,5 @@
 		}
 	}
 	headroom := max(e.demand, rate*headroomPart)
-	return part + min(headroom, left/float64(len(active)))
+	return part + min(headroom, spreadPart*left/float64(len(active)))
 }
--- a/errors.go
+++ b/errors.go
@@ -79,6 +79,14 @@
 	Outcome    Outcome       // not-run or unknown
 	RetryAfter time.Duration // least wait before the caller tries again; 0 for none
 	Detail     string        // one sentence for the caller
+	Level      int           // admission level of the server that shed; 0 if none did
 }
 
 func (r *Refusal) Error() string { return fmt.Sprintf("refused: %s: %s", r.Reason, r.Detail) }
+
+// WithLevel returns a copy with the admission level replaced.
+func (r *Refusal) WithLevel(level int) *Refusal {
+	next := *r
+	next.Level = level
+	return &next
+}
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -156,6 +156,9 @@
 	if err != nil {
 		refusal := asRefusal(err)
 		g.count(stage, string(refusal.Reason))
+		if stage != Peer {
+			refusal = refusal.WithLevel(0) // for daemons only
+		}
 		writeRefusal(w, refusal, c.Envelope.Request, g.jitter)
 		return
 	}
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -90,6 +90,9 @@
 	h.Set(OutcomeHeader, string(r.Outcome))
 	h.Set(ReasonHeader, string(r.Reason))
 	h.Set(RequestHeader, request)
+	if r.Level > 0 {
+		h.Set(levelHeader, strconv.Itoa(r.Level))
+	}
 	if r.RetryAfter > 0 {
 		spread := float64(r.RetryAfter) * (1 + jitter())
 		h.Set("Retry-After", strconv.Itoa(int(time.Duration(spread).Seconds()+1)))
@@ -115,6 +118,7 @@
 	_ = json.Unmarshal(a.Body, &p) // the detail is for people only
 	refusal := &catkinrun.Refusal{
 		Status: a.Status, Reason: catkinrun.Reason(a.Header.Get(ReasonHeader)), Outcome: outcome, Detail: p.Detail,
+		Level: min(number(a.Header, levelHeader), catkinrun.MaxRank),
 	}
 	if a.Header.Get("Retry-After") != "" {
 		refusal.RetryAfter = time.Second
--- a/filterer/inherit.go
+++ b/filterer/inherit.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/tracker"
 )
@@ -37,6 +39,7 @@
 	err := next(ctx, c)
 	if err != nil || c.Answer == nil {
 		cancel()
+		parent.RaiseLevel(levelOf(err))
 		parent.ReturnAllowance(c.Envelope.Allowance)
 		return err
 	}
@@ -60,3 +63,12 @@
 		cancelDeadline()
 	}
 }
+
+// levelOf returns the admission level that a refusal carries.
+func levelOf(err error) int {
+	var refusal *catkinrun.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Level
+	}
+	return 0
+}
--- a/filterer/limit.go
+++ b/filterer/limit.go
@@ -17,7 +17,7 @@
 // servers' admission alone bounds them.
 func (f *limit) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	if c.Envelope.Team != "" {
-		if err := f.limiter.Take(ctx, c.Envelope.Team); err != nil {
+		if err := f.limiter.Take(ctx, c.Envelope.Team, c.Envelope.Priority); err != nil {
 			return err
 		}
 	}
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -54,16 +54,23 @@
 func (f *route) failed(host string, err error) {
 	var refusal *catkinrun.Refusal
 	fault := false
+	load := float64(unknownLoad)
 	if errors.As(err, &refusal) {
 		switch refusal.Reason {
 		case catkinrun.ReasonUnreachable, catkinrun.ReasonBroken:
 			fault = true
+		case catkinrun.ReasonOverload:
+			load = fullLoad
 		case catkinrun.ReasonLeaving, catkinrun.ReasonNoServer:
 			f.router.Left(host)
 		}
 	}
-	f.router.Ended(host, fault, unknownLoad)
+	f.router.Ended(host, fault, load)
 }
 
-// unknownLoad says that no load was reported.
-const unknownLoad = -1
+const (
+	// unknownLoad says that no load was reported.
+	unknownLoad = -1
+	// fullLoad is the load of a server that sheds: its slots and its queue are full.
+	fullLoad = 2
+)
--- a/filterer/shed.go
+++ b/filterer/shed.go
@@ -24,11 +24,14 @@
 		f.log.WithFields(logrus.Fields{
 			"request": c.Envelope.Request, "route": c.Envelope.Route, "rank": rank, "level": level,
 		}).Debug("shed: request refused for a server further down")
-		return refuseLater(catkinrun.ReasonOverload, "servers further down shed requests of this rank")
+		return refuseLater(catkinrun.ReasonOverload, "servers further down shed requests of this rank").WithLevel(level)
 	}
 	err := next(ctx, c)
 	if err == nil && c.Answer != nil {
 		f.leveler.Set(c.Envelope.Route, c.Answer.Level)
 	}
+	if level := levelOf(err); level > 0 {
+		f.leveler.Set(c.Envelope.Route, level)
+	}
 	return err
 }
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -71,39 +71,49 @@
 	}
 }
 
+// reservePart is the part of a bucket that is kept for higher priorities, so that a
+// team's own lesser requests don't use up what its important ones need.
+var reservePart = [catkinrun.PriorityCount]float64{0.3, 0.15, 0}
+
 // take spends one token; otherwise it returns the wait until there is one.
-func (b *bucket) take(now time.Time) (wait time.Duration, ok bool) {
+func (b *bucket) take(now time.Time, p catkinrun.Priority) (wait time.Duration, ok bool) {
 	b.fill(now)
-	if b.tokens >= 1 {
+	need := 1.0
+	if b.share.Rate > 0 {
+		need += max(0, min(reservePart[p]*b.share.Burst, b.share.Burst-1))
+	}
+	if b.tokens >= need {
 		b.tokens--
 		return 0, true
 	}
 	if b.share.Rate <= 0 {
 		return unknownWait, false
 	}
-	return time.Duration((1 - b.tokens) / b.share.Rate * float64(time.Second)), false
+	return time.Duration((need - b.tokens) / b.share.Rate * float64(time.Second)), false
 }
 
-// measure notes the demand since the last reading: a rise at once, a fall slowly. A
-// team is idle once no request came for a while.
+// measure notes the demand since the last reading. The more requests came, or should
+// have come, the more the reading counts: a busy team's demand moves at once, and a
+// quiet one's is not taken for nil between two requests.
 func (b *bucket) measure(now time.Time) {
 	elapsed := now.Sub(b.measuredAt)
-	rate := b.arrivals / max(elapsed, shortestMeasure).Seconds()
-	b.demand = max(b.demand, rate)
-	if elapsed >= shortestMeasure {
-		kept := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
-		b.demand = max(rate, kept*b.demand+(1-kept)*rate)
-		b.arrivals = 0
-		b.measuredAt = now
+	if elapsed < shortestMeasure {
+		return
 	}
-	b.demand = max(b.demand, demandFloor)
+	rate := b.arrivals / elapsed.Seconds()
+	evidence := max(b.arrivals, b.demand*elapsed.Seconds())
+	kept := math.Exp(-evidence / demandMemory)
+	b.demand = max(kept*b.demand+(1-kept)*rate, demandFloor)
+	b.arrivals = 0
+	b.measuredAt = now
 	if now.Sub(b.usedAt) > idleTime {
 		b.demand = 0
 	}
 }
 
 const (
-	demandMemory    = 200 * time.Millisecond
+	demandMemory    = 4.0             // requests that a reading of the demand rests on
+	firstDemand     = 1.0             // requests per second of a team whose traffic begins
 	demandFloor     = 0.05            // requests per second of a team that is not idle
 	idleTime        = 3 * time.Second // after which a share is given up
 	unknownWait     = time.Second     // wait told when no share is known
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -59,9 +59,9 @@
 
 // Take lets one request of a team through, after a short wait if need be. It
 // fails with *catkinrun.Refusal.
-func (l *Limiter) Take(ctx context.Context, team string) error {
+func (l *Limiter) Take(ctx context.Context, team string, p catkinrun.Priority) error {
 	l.Arrive(team)
-	wait, err := l.TryTake(team)
+	wait, err := l.TryTake(team, p)
 	if err == nil || !l.queue(team) {
 		return err
 	}
@@ -72,7 +72,7 @@
 		if left <= 0 || l.clock.Wait(ctx, min(max(wait, shortestWait), left, waitStep)) != nil {
 			return err
 		}
-		if wait, err = l.TryTake(team); err == nil {
+		if wait, err = l.TryTake(team, p); err == nil {
 			return nil
 		}
 	}
@@ -121,7 +121,7 @@
 	defer l.mu.Unlock()
 	b, ok := l.buckets[team]
 	if !ok {
-		b = &bucket{filledAt: l.clock.Now(), measuredAt: l.clock.Now().Add(-shortestMeasure)}
+		b = &bucket{filledAt: l.clock.Now(), measuredAt: l.clock.Now().Add(-shortestMeasure), demand: firstDemand}
 		l.buckets[team] = b
 	}
 	b.arrivals++
@@ -145,7 +145,7 @@
 }
 
 // TryTake lets one request through or returns the wait until it may try again.
-func (l *Limiter) TryTake(team string) (time.Duration, error) {
+func (l *Limiter) TryTake(team string, p catkinrun.Priority) (time.Duration, error) {
 	snapshot, _ := l.replica.Current()
 	term, current := l.replica.Term()
 	if !current {
@@ -164,7 +164,7 @@
 	l.checkLocked(team, b, snapshot, term)
 	b.share.Rate = min(b.share.Rate, declared.Team.Rate)
 	b.share.Burst = min(b.share.Burst, declared.Team.Burst)
-	wait, ok := b.take(l.clock.Now())
+	wait, ok := b.take(l.clock.Now(), p)
 	if !ok {
 		b.refused++
 		l.wakeLocked(b)
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -168,7 +168,7 @@
 	f.filled = now
 	for range times {
 		n.limiter.Arrive(teamName)
-		if _, err := n.limiter.TryTake(teamName); err == nil {
+		if _, err := n.limiter.TryTake(teamName, catkinrun.Important); err == nil {
 			f.tokens--
 		}
 	}
@@ -177,7 +177,7 @@
 
 // wait lets a caller try at a node and wait a little; it reports whether it passed.
 func (f *fleet) wait(n *node) bool {
-	passed := n.limiter.Take(context.Background(), teamName) == nil
+	passed := n.limiter.Take(context.Background(), teamName, catkinrun.Important) == nil
 	f.request(n, 0)
 	if passed {
 		f.tokens--
@@ -289,7 +289,7 @@
 		f.spread()
 		for range 40 {
 			f.nodes[0].limiter.Arrive(teamName)
-			if _, err := f.nodes[0].limiter.TryTake(teamName); err != nil {
+			if _, err := f.nodes[0].limiter.TryTake(teamName, catkinrun.Important); err != nil {
 				refused++
 			}
 		}
@@ -309,19 +309,12 @@
 		f.round()
 	}
 	refused := 0
-	for step := range 30 { // a fifth of the rate at each host, all at once
+	for range 30 { // a fifth of the rate at each host, all at once
 		for _, n := range f.nodes {
-			n.limiter.Arrive(teamName)
-			if step == 0 {
-				n.limiter.Round(context.Background())
-			}
-			if _, err := n.limiter.TryTake(teamName); err != nil {
+			if !f.wait(n) {
 				refused++
 			}
 		}
-		if step%10 == 9 {
-			f.round()
-		}
 		f.clock.Advance(50 * time.Millisecond)
 		f.spread()
 	}
@@ -361,7 +354,7 @@
 	n.limiter.Round(context.Background())
 	f.clock.Advance(interval)
 	f.spread()
-	_, err := n.limiter.TryTake(teamName)
+	_, err := n.limiter.TryTake(teamName, catkinrun.Important)
 	is.NoErr(err)
 }
 
@@ -391,7 +384,7 @@
 			n.limiter.Round(context.Background())
 			for range 10 {
 				n.limiter.Arrive(teamName)
-				if _, err := n.limiter.TryTake(teamName); err == nil {
+				if _, err := n.limiter.TryTake(teamName, catkinrun.Important); err == nil {
 					let++
 				}
 			}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -55,9 +55,8 @@
 }
 
 // Allowed reports whether a call may be sent again after a refusal. A request
-// that may have run is sent again only if its route is idempotent. The level of
-// the refusing server holds for its whole service, so a refusal for overload is
-// final.
+// that may have run is sent again only if its route is idempotent. A request that one
+// server sheds may try one other, since load is never quite even.
 func Allowed(c *catkinrun.Call, r *catkinrun.Refusal) bool {
 	if c.Stream != nil || c.Envelope.Allowance < 1 {
 		return false
@@ -65,6 +64,8 @@
 	switch r.Reason {
 	case catkinrun.ReasonUnreachable, catkinrun.ReasonBroken:
 		return r.Outcome == catkinrun.NotRun || c.Envelope.Idempotent
+	case catkinrun.ReasonOverload:
+		return len(c.Tried) == 0 && c.Target != ""
 	case catkinrun.ReasonLeaving, catkinrun.ReasonStale, catkinrun.ReasonNotOwner, catkinrun.ReasonNoServer:
 		return r.Outcome == catkinrun.NotRun
 	}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -1,11 +1,13 @@
-// Package caller stands in for the callers: an open loop of requests at a fixed
-// rate, whatever the answers, with callers that may retry hard.
+// Package caller stands in for the callers: an open loop of requests at a fixed mean
+// rate with random gaps, whatever the answers, with callers that may retry hard.
 package caller
 
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -39,6 +41,8 @@
 	retryPause = 20 * time.Millisecond
 	// maxLatency bounds the histogram, in microseconds.
 	maxLatency = 60_000_000
+	// seed makes the gaps between requests the same in each run.
+	seed = 1
 	// workers bounds the requests of one stream that are under way.
 	workers = 4000
 )
@@ -81,8 +85,11 @@
 	var requests errgroup.Group
 	requests.SetLimit(workers)
 	total := int(c.settings.Rate * c.settings.Duration.Seconds())
+	random := rand.New(rand.NewPCG(seed, hash(c.settings.Name)))
+	due := c.begun
 	for i := range total {
-		due := c.begun.Add(time.Duration(float64(i) / c.settings.Rate * float64(time.Second)))
+		gap := random.ExpFloat64() / c.settings.Rate
+		due = due.Add(time.Duration(gap * float64(time.Second)))
 		if c.clock.Wait(ctx, due.Sub(c.clock.Now())) != nil {
 			break
 		}
@@ -95,6 +102,12 @@
 	return c.result
 }
 
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
 // try is the end of one try.
 type try struct {
 	status  int
