Admission: a level that spares what is served well, and judges by the service time

Ruled out: the queue's order (important goes first) and rate limits (0 of 125 refusals of important). (1) Requests dropped from the queue raised the level without end, also through the priorities that were served well. (2) The level moved by a tenth of a class at a time, and judged windows of four arrivals. (3) With work of 400 ms any wait passes 5 ms.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -79,20 +79,20 @@
 	defer cancel()
 	select {
 	case err := <-w.decided:
-		a.started(err, a.clock.Now().Sub(enteredAt))
+		a.started(e.Priority, err, a.clock.Now().Sub(enteredAt))
 		return err
 	case <-waitCtx.Done():
 		return a.leave(ctx, w)
 	}
 }
 
-func (a *Admitter) started(err error, wait time.Duration) {
+func (a *Admitter) started(p catkinrun.Priority, err error, wait time.Duration) {
 	if err != nil {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.level.ran(wait)
+	a.level.ran(p, wait)
 }
 
 // enter takes a slot at once, queues, or refuses. A nil waiter has its slot.
@@ -101,7 +101,7 @@
 	defer a.mu.Unlock()
 	a.level.roll(a.clock.Now())
 	a.level.arrive(e.Rank())
-	if e.Rank() < a.level.rank() {
+	if e.Rank() < a.level.rank {
 		return nil, a.refuseLocked(e, catkinrun.ReasonOverload, "the server sheds requests of this rank")
 	}
 	if expected := a.services[e.Route]; e.TimeLeft < expected {
@@ -112,7 +112,7 @@
 	if a.queue.size == 0 && a.mayRunLocked(e.Priority) {
 		a.inUse++
 		a.counts.Admitted++
-		a.level.ran(0)
+		a.level.ran(e.Priority, 0)
 		return nil, nil
 	}
 	w := &waiter{envelope: e, decided: make(chan error, 1)}
@@ -145,7 +145,7 @@
 	for a.queue.size > max(1, a.slots*queuePerSlot) {
 		w := a.queue.lowest()
 		a.queue.remove(w)
-		a.level.shed++
+		a.level.drop(w.envelope.Priority)
 		w.decided <- a.refuseLocked(w.envelope, catkinrun.ReasonOverload, "the queue is full")
 	}
 }
@@ -166,7 +166,7 @@
 	if ctx.Err() != nil {
 		return a.refuseLocked(w.envelope, catkinrun.ReasonDeadline, "the request ended while it waited")
 	}
-	a.level.shed++
+	a.level.drop(w.envelope.Priority)
 	return a.refuseLocked(w.envelope, catkinrun.ReasonOverload, "no slot became free in time")
 }
 
@@ -174,11 +174,11 @@
 	a.counts.Shed[reason]++
 	a.log.WithFields(logrus.Fields{
 		"request": e.Request, "team": e.Team, "route": e.Route, "rank": e.Rank(),
-		"level": a.level.rank(), "in-use": a.inUse, "queued": a.queue.size, "reason": reason,
+		"level": a.level.rank, "in-use": a.inUse, "queued": a.queue.size, "reason": reason,
 	}).Debug("admitter: request shed")
 	return &catkinrun.Refusal{
 		Status: 503, Reason: reason, Outcome: catkinrun.NotRun, RetryAfter: retryAfter, Detail: detail,
-		Level: a.level.rank(),
+		Level: a.level.rank,
 	}
 }
 
@@ -188,6 +188,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if took > 0 {
+		a.level.served(took)
 		mean := a.services[route]
 		a.services[route] = mean + time.Duration(serviceSmoothing*float64(took-mean))
 	}
@@ -212,7 +213,7 @@
 	defer a.mu.Unlock()
 	a.level.roll(a.clock.Now())
 	return State{
-		Level: a.level.rank(),
+		Level: a.level.rank,
 		Load:  float64(a.inUse+a.queue.size) / float64(max(1, a.slots)),
 	}
 }
--- a/envelope.go
+++ b/envelope.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"gopkg.in/yaml.v3"
 )
 
 // Outcome says what a refusal knows of the request's run.
@@ -77,6 +79,11 @@
 	return &InvalidError{Where: "priority", Field: string(text), Reason: "expected deferrable, normal or important"}
 }
 
+// UnmarshalYAML reads a priority and names the line of a bad one.
+func (p *Priority) UnmarshalYAML(node *yaml.Node) error {
+	return atLine(node, p.UnmarshalText([]byte(node.Value)))
+}
+
 // MaxHops bounds the depth of a call graph.
 const MaxHops = 16
 
--- a/filterer/classify.go
+++ b/filterer/classify.go
@@ -36,11 +36,5 @@
 		return refuse(http.StatusUnauthorized, catkinrun.ReasonKey, "the route needs a key")
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(route.Route.Timeout))
-	err := next(ctx, c)
-	if err != nil || c.Answer == nil {
-		cancel()
-		return err
-	}
-	c.Answer.OnEnd(func(bool) { cancel() })
-	return nil
+	return until(ctx, cancel, c, next)
 }
--- a/filterer/inherit.go
+++ b/filterer/inherit.go
@@ -36,16 +36,13 @@
 	c.Envelope.DedupeKey = bindDedupeKey(parent.Envelope.Team, own)
 	c.Envelope.Hops++
 	ctx, cancel := mergeContexts(ctx, parent.Context)
-	err := next(ctx, c)
-	if err != nil || c.Answer == nil {
-		cancel()
+	if err := until(ctx, cancel, c, next); err != nil {
 		parent.RaiseLevel(levelOf(err))
 		parent.ReturnAllowance(c.Envelope.Allowance)
 		return err
 	}
 	parent.RaiseLevel(c.Answer.Level)
 	parent.ReturnAllowance(c.Answer.Unspent)
-	c.Answer.OnEnd(func(bool) { cancel() })
 	return nil
 }
 
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -109,3 +109,14 @@
 	r.RetryAfter = time.Second
 	return r
 }
+
+// until passes the call on and cancels its context once the answer has arrived.
+func until(ctx context.Context, cancel context.CancelFunc, c *catkinrun.Call, next catkinrun.Handler) error {
+	err := next(ctx, c)
+	if err != nil || c.Answer == nil {
+		cancel()
+		return err
+	}
+	c.Answer.OnEnd(func(bool) { cancel() })
+	return nil
+}
--- a/filterer/verify.go
+++ b/filterer/verify.go
@@ -30,13 +30,7 @@
 		c.Service = route.Route.Service
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Envelope.TimeLeft)
-	err := next(ctx, c)
-	if err != nil || c.Answer == nil {
-		cancel()
-		return err
-	}
-	c.Answer.OnEnd(func(bool) { cancel() })
-	return nil
+	return until(ctx, cancel, c, next)
 }
 
 func (f *verify) checkKey(c *catkinrun.Call, s *catkinrun.Snapshot, current bool) error {
--- a/resource.go
+++ b/resource.go
@@ -6,6 +6,9 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/yaml.v3"
 )
 
 // Version is a position in the change log. A resource's version is that of the
@@ -75,6 +78,20 @@
 	return nil
 }
 
+// UnmarshalYAML reads a duration and names the line of a bad one.
+func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
+	return atLine(node, d.UnmarshalText([]byte(node.Value)))
+}
+
+// atLine puts the line into an InvalidError.
+func atLine(node *yaml.Node, err error) error {
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		invalid.Where = "line " + strconv.Itoa(node.Line)
+	}
+	return err
+}
+
 // Resource is one declared resource; exactly the field of its kind is set.
 type Resource struct {
 	Kind    Kind    `cbor:"kind" json:"kind" yaml:"kind"`
