--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -14,9 +15,9 @@
 
 const (
 	// queuePerSlot bounds the queue in requests per slot.
-	queuePerSlot = 1
-	// maxWait is the longest wait in the queue.
-	maxWait = 250 * time.Millisecond
+	queuePerSlot = 2
+	// baseWait is the longest wait in the queue, above the mean service time.
+	baseWait = 250 * time.Millisecond
 	// serviceSmoothing weighs a new service time against the mean.
 	serviceSmoothing = 0.1
 	// estimateDecay lowers an estimated service time at each refusal that rests on it.
@@ -75,7 +76,7 @@
 		return err
 	}
 	enteredAt := a.clock.Now()
-	waitCtx, cancel := context.WithTimeout(ctx, min(maxWait, e.TimeLeft))
+	waitCtx, cancel := context.WithTimeout(ctx, min(a.patience(), e.TimeLeft))
 	defer cancel()
 	select {
 	case err := <-w.decided:
@@ -86,6 +87,13 @@
 	}
 }
 
+// patience is the longest wait in the queue.
+func (a *Admitter) patience() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return baseWait + a.level.service
+}
+
 func (a *Admitter) started(p catkinrun.Priority, err error, wait time.Duration) {
 	if err != nil {
 		return
@@ -124,7 +132,7 @@
 }
 
 func (a *Admitter) mayRunLocked(p catkinrun.Priority) bool {
-	return a.inUse < max(1, int(slotPart[p]*float64(a.slots)))
+	return a.inUse < max(1, int(math.Round(slotPart[p]*float64(a.slots))))
 }
 
 // fillLocked gives free slots to waiters.
--- a/leveler/leveler.go
+++ b/leveler/leveler.go
@@ -10,8 +10,13 @@
 	"github.com/catkinrun/catkinrun"
 )
 
-// life is how long a level counts without being confirmed by another answer.
-const life = time.Second
+const (
+	// life is how long a level counts without being confirmed by another answer.
+	life = time.Second
+	// hold is how long a lower level does not replace a higher one. The servers of a
+	// service have a level each, and a request may meet the strictest.
+	hold = 300 * time.Millisecond
+)
 
 type reading struct {
 	level int
@@ -35,7 +40,12 @@
 func (l *Leveler) Set(route string, level int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.routes[route] = reading{level: level, at: l.clock.Now()}
+	now := l.clock.Now()
+	old, ok := l.routes[route]
+	if ok && level < old.level && now.Sub(old.at) < hold {
+		return
+	}
+	l.routes[route] = reading{level: level, at: now}
 }
 
 // Level returns the route's level, 0 if no answer came lately.
--- a/measure/harness_test.go
+++ b/measure/harness_test.go
@@ -309,3 +309,25 @@
 	}
 	return 100 * float64(part) / float64(whole)
 }
+
+// outcomes adds up how requests ended, by listener, over all hosts.
+func (c *cluster) outcomes() map[string]int {
+	sums := make(map[string]int)
+	for _, h := range c.hosts {
+		response, err := c.client.Get("http://" + h.ip + ":7004/metrics")
+		if err != nil {
+			continue
+		}
+		raw, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		for _, line := range strings.Split(string(raw), "\n") {
+			rest, ok := strings.CutPrefix(line, "catkinrun_requests_total")
+			labels, value, _ := strings.Cut(rest, " ")
+			var n int
+			if _, err := fmt.Sscan(value, &n); ok && err == nil {
+				sums[strings.ReplaceAll(labels, "\"", "")] += n
+			}
+		}
+	}
+	return sums
+}
--- a/measure/overload_test.go
+++ b/measure/overload_test.go
@@ -194,6 +194,7 @@
 	time.AfterFunc(triggerTime, func() { s.slow(c, 1) })
 	trigger := c.load(s.streamsFor(c, keys, "trigger", surge, triggerTime, 3)...)
 	s.report(trigger, s.wasted(c).minus(before))
+	fmt.Println("# outcomes of requests by listener", c.outcomes())
 	s.recovery(<-after)
 }
 
