--- a/admitter/level.go
+++ b/admitter/level.go
@@ -47,7 +47,7 @@
 	arrivals  [catkinrun.MaxRank]float64 // by rank, in this window and, fading, before
 	windows   [catkinrun.PriorityCount]window
 	queued    [catkinrun.PriorityCount]bool // the window before had a standing queue
-	service   time.Duration // mean service time
+	service   time.Duration                 // mean service time
 	rank      int
 	cuts      int // overloaded windows in a row
 	regains   int // windows without overload in a row
--- /dev/null
+++ b/dialer/dialer_test.go
@@ -0,0 +1,53 @@
+package dialer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkinrun/catkinrun/dialer"
+)
+
+func get(transport http.RoundTripper, address string) (*dialer.Watch, error) {
+	var watch dialer.Watch
+	request, _ := http.NewRequest(http.MethodPost, "http://"+address, io.NopCloser(strings.NewReader("body")))
+	_, err := transport.RoundTrip(request.WithContext(watch.Trace(context.Background())))
+	return &watch, err
+}
+
+func TestUnreachableHostGotNoByte(t *testing.T) {
+	is := is.New(t)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := socket.Addr().String()
+	is.NoErr(socket.Close())
+	watch, err := get(dialer.Transport(time.Second, 0, 1), address)
+	is.True(err != nil)
+	is.True(watch.Unsent())
+}
+
+func TestServerThatReadAndClosedMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = socket.Close() }()
+	go readAndClose(socket)
+	watch, err := get(dialer.Transport(time.Second, 0, 1), socket.Addr().String())
+	is.True(err != nil)
+	is.True(!watch.Unsent()) // its bytes went out
+}
+
+func readAndClose(socket net.Listener) {
+	conn, err := socket.Accept()
+	if err != nil {
+		return
+	}
+	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.Close()
+}
--- a/filterer/inherit.go
+++ b/filterer/inherit.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	parent.RaiseLevel(c.Answer.Level)
-	parent.ReturnAllowance(c.Answer.Unspent)
+	parent.ReturnAllowance(min(c.Answer.Unspent, c.Envelope.Allowance))
 	return nil
 }
 
--- a/leveler/leveler.go
+++ b/leveler/leveler.go
@@ -11,11 +11,14 @@
 )
 
 const (
-	// life is how long a level counts without being confirmed by another answer.
-	life = time.Second
-	// hold is how long a lower level does not replace a higher one. The servers of a
-	// service have a level each, and a request may meet the strictest.
-	hold = 300 * time.Millisecond
+	// fresh is how long a level counts in full without being confirmed.
+	fresh = 300 * time.Millisecond
+	// decay is the number of ranks by which it falls each second after that, so that a
+	// few requests find out whether the servers have recovered.
+	decay = 50
+	// ranksPerPriority and fairRanks are the sizes of the rank's classes.
+	ranksPerPriority = catkinrun.MaxRank / catkinrun.PriorityCount
+	fairRanks        = ranksPerPriority / 10
 )
 
 type reading struct {
@@ -40,21 +43,37 @@
 func (l *Leveler) Set(route string, level int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clock.Now()
-	old, ok := l.routes[route]
-	if ok && level < old.level && now.Sub(old.at) < hold {
-		return
-	}
-	l.routes[route] = reading{level: level, at: now}
+	l.routes[route] = reading{level: level, at: l.clock.Now()}
 }
 
-// Level returns the route's level, 0 if no answer came lately.
+// Level returns the route's level now, 0 if none is known.
 func (l *Leveler) Level(route string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.routes[route]
-	if !ok || l.clock.Now().Sub(r.at) > life {
+	if !ok {
 		return 0
 	}
-	return r.level
+	age := l.clock.Now().Sub(r.at) - fresh
+	if age <= 0 {
+		return r.level
+	}
+	return fall(r.level, int(age.Seconds()*decay)+1)
+}
+
+// fall lowers a level by so many ranks of the classes that teams inside their fair
+// share have; the others are passed over at once.
+func fall(level, ranks int) int {
+	for level > 0 && ranks > 0 {
+		fair := level%ranksPerPriority - (ranksPerPriority - fairRanks)
+		if level%ranksPerPriority == 0 {
+			fair = fairRanks
+		}
+		if fair > ranks {
+			return level - ranks
+		}
+		ranks -= max(0, fair)
+		level = (level - 1) / ranksPerPriority * ranksPerPriority
+	}
+	return max(0, level)
 }
