--- a/filterer/send.go
+++ b/filterer/send.go
@@ -27,7 +27,7 @@
 // this daemon, which takes the calls for the server beside it.
 func (f *send) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	if deadline, ok := ctx.Deadline(); ok {
-		c.Envelope.TimeLeft = deadline.Sub(f.parts.Clock.Now())
+		c.Envelope = c.Envelope.WithTimeLeft(deadline.Sub(f.parts.Clock.Now()))
 	}
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -27,7 +27,6 @@
 	demand     float64 // smoothed requests per second
 	waiting    int     // requests that wait for a token
 	usedAt     time.Time
-	refused    uint64
 }
 
 // fill adds the tokens earned since the last reading.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -166,7 +166,6 @@
 	b.share.Burst = min(b.share.Burst, declared.Team.Burst)
 	wait, ok := b.take(l.clock.Now(), p)
 	if !ok {
-		b.refused++
 		l.wakeLocked(b)
 		return wait, refuse(catkinrun.ReasonRate, "the team is above its rate", wait)
 	}
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -47,7 +47,6 @@
 	views      map[string][]dated // other zones, and the own zone as parents saw it
 	merged     []dated            // all zones, as they were counted last
 	kept       map[string]Bitmap  // by zone, members with the same vote in the previous roster
-	changed    chan struct{}
 	observers  []func(*catkinrun.Snapshot)
 }
 
@@ -61,7 +60,6 @@
 		before:   catkinrun.NewSnapshot(),
 		children: make(map[string][]dated),
 		views:    make(map[string][]dated),
-		changed:  make(chan struct{}),
 	}
 }
 
@@ -116,13 +114,6 @@
 	return 0, v == 0
 }
 
-// Changed returns a channel that closes at the next change of the configuration.
-func (r *Replica) Changed() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.changed
-}
-
 // SetReady tells which service the server beside this daemon is ready to serve;
 // empty for none.
 func (r *Replica) SetReady(service string) {
@@ -190,8 +181,6 @@
 	for _, observer := range r.observers {
 		observer(s)
 	}
-	close(r.changed)
-	r.changed = make(chan struct{})
 }
 
 // ProveByStore records that the store's head was head in a read sent at sentAt.
--- a/replicator/tally.go
+++ b/replicator/tally.go
@@ -75,12 +75,6 @@
 	Ready  Bitmap            `cbor:"ready"` // hosts whose backend server takes new work
 }
 
-// WithAge returns a copy that is older by d.
-func (t Tally) WithAge(d time.Duration) Tally {
-	t.Age += d
-	return t
-}
-
 // dated is a tally with the local time of its oldest report.
 type dated struct {
 	Tally
