One place for the classes of ranks, the active hosts and the running mean

Cause: reading the whole change once more, three pieces stood twice. The sizes of the rank's classes were worked out in admitter and in leveler, though Rank defines them; the broker went through its entries twice by the same condition; admitter had the same running mean for a route and for the server. A fuzz test had one pair of steps in two actions.

The change: RanksPerPriority and RanksPerExcess stand beside Rank; ledger.active and smooth serve both callers; the asking host needs no case of its own in active, since its demand and its time were set just before.

Conclusion: nothing else in the change was worth moving.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -197,8 +197,7 @@
 	defer a.mu.Unlock()
 	if took > 0 {
 		a.level.served(took)
-		mean := a.services[route]
-		a.services[route] = mean + time.Duration(serviceSmoothing*float64(took-mean))
+		a.services[route] = smooth(a.services[route], took)
 	}
 	a.releaseLocked()
 }
--- a/admitter/level.go
+++ b/admitter/level.go
@@ -24,9 +24,6 @@
 	// memory is the part of a window's arrivals that counts in the next one too, so
 	// that a server with few requests has enough of them to judge by.
 	memory = 0.8
-	// ranksPerPriority and ranksPerExcess are the sizes of the rank's classes.
-	ranksPerPriority = catkinrun.MaxRank / catkinrun.PriorityCount
-	ranksPerExcess   = ranksPerPriority / 10
 )
 
 // window counts what happened to one priority's requests in a window.
@@ -67,7 +64,12 @@
 
 // served takes a run's service time.
 func (l *level) served(took time.Duration) {
-	l.service += time.Duration(serviceSmoothing * float64(took-l.service))
+	l.service = smooth(l.service, took)
+}
+
+// smooth moves a mean service time towards a new one.
+func smooth(mean, took time.Duration) time.Duration {
+	return mean + time.Duration(serviceSmoothing*float64(took-mean))
 }
 
 func (l *level) target() time.Duration {
@@ -116,7 +118,7 @@
 	for p := catkinrun.PriorityCount - 1; p >= 0; p-- {
 		w := l.windows[p]
 		if w.shed > 0 || (w.standing(l.target()) && l.queued[p]) {
-			return (p + 1) * ranksPerPriority
+			return (p + 1) * catkinrun.RanksPerPriority
 		}
 	}
 	return 0
@@ -150,7 +152,7 @@
 
 // unused reports whether the rank belongs to an excess class without arrivals.
 func (l *level) unused(rank int) bool {
-	fair := rank%ranksPerPriority >= ranksPerPriority-ranksPerExcess
+	fair := rank%catkinrun.RanksPerPriority >= catkinrun.RanksPerPriority-catkinrun.RanksPerExcess
 	return !fair && l.arrivals[rank] < forgotten
 }
 
--- a/broker/ledger.go
+++ b/broker/ledger.go
@@ -119,13 +119,19 @@
 // small reports whether the team's rate is too small to be divided among the hosts
 // that see its traffic.
 func (l *ledger) small(team catkinrun.Team, activeSince time.Time) bool {
-	active := 0
+	active := float64(len(l.active(activeSince)))
+	return team.Rate < smallRate*active || team.Burst < smallBurst*active
+}
+
+// active returns the entries of hosts that lately saw traffic of the team.
+func (l *ledger) active(since time.Time) []*entry {
+	var active []*entry
 	for _, e := range l.entries {
-		if e.demand > 0 && e.heardAt.After(activeSince) {
-			active++
+		if e.demand > 0 && e.heardAt.After(since) {
+			active = append(active, e)
 		}
 	}
-	return team.Rate < smallRate*float64(active) || team.Burst < smallBurst*float64(active)
+	return active
 }
 
 // allocateTokens moves whole tokens for the requests that wait, without a rate.
@@ -154,12 +160,7 @@
 // each with at most an even part of what is left; what remains is spread evenly, up
 // to a headroom. The rest stays with the broker, for hosts whose traffic begins.
 func (l *ledger) target(e *entry, rate float64, activeSince time.Time) float64 {
-	var active []*entry
-	for _, other := range l.entries {
-		if other == e || (other.demand > 0 && other.heardAt.After(activeSince)) {
-			active = append(active, other)
-		}
-	}
+	active := l.active(activeSince) // with e, which asks now
 	slices.SortFunc(active, func(a, b *entry) int {
 		switch {
 		case a.demand < b.demand:
--- a/committer/currency_test.go
+++ b/committer/currency_test.go
@@ -88,6 +88,12 @@
 	}}
 }
 
+// changeTeam changes the team through daemon i, from the newest version it can read.
+func (f *fleet) changeTeam(i int) {
+	_ = f.committers[i].CatchUp(context.Background())
+	f.commit(i, f.teamMutation(i))
+}
+
 func (f *fleet) ask(i, j int) {
 	sentAt := f.clock.Now()
 	answer := f.replicas[j].Answer(f.replicas[i].Ask())
@@ -164,14 +170,12 @@
 			},
 			"team changes": func(t *rapid.T) {
 				i := host.Draw(t, "host")
-				_ = f.committers[i].CatchUp(context.Background())
-				f.commit(i, f.teamMutation(i))
+				f.changeTeam(i)
 			},
 			"answer of the store is lost": func(t *rapid.T) {
 				i := host.Draw(t, "host")
 				f.store.SetFaults(platform.Faults{LoseWrites: 1})
-				_ = f.committers[i].CatchUp(context.Background())
-				f.commit(i, f.teamMutation(i))
+				f.changeTeam(i)
 				f.store.SetFaults(platform.Faults{})
 			},
 			"restart": func(t *rapid.T) {
--- a/envelope.go
+++ b/envelope.go
@@ -87,11 +87,14 @@
 // MaxHops bounds the depth of a call graph.
 const MaxHops = 16
 
-// rankScale is the number of ranks within one priority.
-const rankScale = 1000
-
-// MaxRank is above every request's rank.
-const MaxRank = PriorityCount * rankScale
+// The classes of ranks: each priority has as many, and within it each of the ten
+// steps of a team's excess; teams inside their fair share have the highest of them.
+const (
+	RanksPerPriority = 1000
+	RanksPerExcess   = RanksPerPriority / 10
+	// MaxRank is above every request's rank.
+	MaxRank = PriorityCount * RanksPerPriority
+)
 
 // Envelope is what daemons know of a request. It travels from daemon to daemon
 // and never to a caller or a backend server.
@@ -128,9 +131,9 @@
 func (e Envelope) Rank() int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(e.Request))
-	spread := int(h.Sum32() % 100)
+	spread := int(h.Sum32() % RanksPerExcess)
 	excess := min(max(e.Share, 0), 9)
-	return int(e.Priority)*rankScale + (9-excess)*100 + spread
+	return int(e.Priority)*RanksPerPriority + (9-excess)*RanksPerExcess + spread
 }
 
 // Validate checks a decoded envelope; it fails with *InvalidError.
--- a/leveler/leveler.go
+++ b/leveler/leveler.go
@@ -16,9 +16,6 @@
 	// decay is the number of ranks by which it falls each second after that, so that a
 	// few requests find out whether the servers have recovered.
 	decay = 50
-	// ranksPerPriority and fairRanks are the sizes of the rank's classes.
-	ranksPerPriority = catkinrun.MaxRank / catkinrun.PriorityCount
-	fairRanks        = ranksPerPriority / 10
 )
 
 type reading struct {
@@ -65,15 +62,15 @@
 // share have; the others are passed over at once.
 func fall(level, ranks int) int {
 	for level > 0 && ranks > 0 {
-		fair := level%ranksPerPriority - (ranksPerPriority - fairRanks)
-		if level%ranksPerPriority == 0 {
-			fair = fairRanks
+		fair := level%catkinrun.RanksPerPriority - (catkinrun.RanksPerPriority - catkinrun.RanksPerExcess)
+		if level%catkinrun.RanksPerPriority == 0 {
+			fair = catkinrun.RanksPerExcess
 		}
 		if fair > ranks {
 			return level - ranks
 		}
 		ranks -= max(0, fair)
-		level = (level - 1) / ranksPerPriority * ranksPerPriority
+		level = (level - 1) / catkinrun.RanksPerPriority * catkinrun.RanksPerPriority
 	}
 	return max(0, level)
 }
--- a/operator/show.go
+++ b/operator/show.go
@@ -143,7 +143,7 @@
 	}
 	lowest := catkinrun.Envelope{Priority: route.Route.Priority, Share: 9}.Rank()
 	e.Why = append(e.Why, fmt.Sprintf("servers shed ranks below %d; this route's start at %d", e.Level, lowest))
-	if e.Level > lowest+catkinrun.MaxRank/catkinrun.PriorityCount {
+	if e.Level > lowest+catkinrun.RanksPerPriority {
 		e.refuse("all requests of this priority are shed now")
 	}
 }
