--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -1,5 +1,6 @@
-// Package admitter is the admission point of the backend server beside this
-// daemon: it counts the server's slots, queues for a short time, and sheds.
+// Package admitter is the admission point of the backend server beside this daemon,
+// the only way to it: it counts the server's slots, lets requests wait a short time
+// in the order of their classes, and refuses those that cannot be served in time.
 package admitter
 
 import (
@@ -14,22 +15,25 @@
 )
 
 const (
-	// queuePerSlot bounds the queue in requests per slot.
-	queuePerSlot = 2
-	// baseWait is the longest wait in the queue, above the mean service time.
-	baseWait = 250 * time.Millisecond
+	// fullPart is the part of the slots that is used: servers slow down when they are
+	// nearly full, and a new connection or a health check holds a slot too.
+	fullPart = 0.94
+	// coldPart is the part of the slots that is used while a server is cold.
+	coldPart = 0.6
+	// patiencePart is the part of a request's objective for which it may wait. A refusal
+	// within an eighth of the objective leaves the caller time to try again.
+	patiencePart = 0.125
+	// callPatience is the part of a call's time left for which it may wait: refusing it
+	// wastes the work of the request that made it.
+	callPatience = 0.5
 	// serviceSmoothing weighs a new service time against the mean.
 	serviceSmoothing = 0.1
 	// estimateDecay lowers an estimated service time at each refusal that rests on it.
-	estimateDecay = 0.98
-	// retryAfter is the least wait told to a refused caller.
-	retryAfter = time.Second
+	estimateDecay = 0.95
+	// retryAfter is the wait told to a refused caller when nothing better is known.
+	retryAfter = 500 * time.Millisecond
 )
 
-// slotPart is the part of the slots that each priority may fill, so that long
-// work of a low priority never holds every slot.
-var slotPart = [catkinrun.PriorityCount]float64{0.7, 0.9, 1}
-
 // Admitter admits requests to one backend server. It is safe for concurrent use.
 type Admitter struct {
 	clock catkinrun.Clock
@@ -37,9 +41,9 @@
 
 	mu       sync.Mutex
 	slots    int
+	cold     bool
 	inUse    int
 	queue    queue
-	level    level
 	services map[string]time.Duration // mean service time by route
 	counts   Counts
 }
@@ -60,11 +64,14 @@
 	}
 }
 
-// SetSlots follows the server's announcement.
-func (a *Admitter) SetSlots(slots int) {
+// SetServer follows the server's announcement.
+func (a *Admitter) SetServer(slots int, cold bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.slots = slots
+	if a.slots == slots && a.cold == cold {
+		return
+	}
+	a.slots, a.cold = slots, cold
 	a.fillLocked()
 }
 
@@ -75,52 +82,36 @@
 	if err != nil || w == nil {
 		return err
 	}
-	enteredAt := a.clock.Now()
-	waitCtx, cancel := context.WithTimeout(ctx, min(a.patience(), e.TimeLeft))
+	waitCtx, cancel := context.WithTimeout(ctx, patience(e))
 	defer cancel()
 	select {
 	case err := <-w.decided:
-		a.started(e.Priority, err, a.clock.Now().Sub(enteredAt))
 		return err
 	case <-waitCtx.Done():
 		return a.leave(ctx, w)
 	}
 }
 
-// patience is the longest wait in the queue.
-func (a *Admitter) patience() time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return baseWait + a.level.service
-}
-
-func (a *Admitter) started(p catkinrun.Priority, err error, wait time.Duration) {
-	if err != nil {
-		return
+// patience is the longest wait of a request in the queue.
+func patience(e catkinrun.Envelope) time.Duration {
+	if e.Call {
+		return time.Duration(callPatience * float64(e.TimeLeft))
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.level.ran(p, wait)
+	return time.Duration(patiencePart * float64(min(e.TimeLeft, e.Objective)))
 }
 
 // enter takes a slot at once, queues, or refuses. A nil waiter has its slot.
 func (a *Admitter) enter(e catkinrun.Envelope) (*waiter, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.level.roll(a.clock.Now())
-	a.level.arrive(e.Rank())
-	if e.Rank() < a.level.rank {
-		return nil, a.refuseLocked(e, catkinrun.ReasonOverload, "the server sheds requests of this rank")
-	}
-	if expected := a.services[e.Route]; e.TimeLeft < expected {
+	if expected := a.services[e.Route]; e.TimeLeft < expected/2 {
 		// Without runs nothing else would correct an estimate from a slow time.
 		a.services[e.Route] = time.Duration(estimateDecay * float64(expected))
-		return nil, a.refuseLocked(e, catkinrun.ReasonDeadline, "the time left is below the usual service time")
+		return nil, a.refuseLocked(e, catkinrun.ReasonDeadline, "the time left is far below the usual service time")
 	}
-	if a.queue.size == 0 && a.mayRunLocked(e.Priority) {
+	if a.queue.size == 0 && a.inUse < a.capacityLocked() {
 		a.inUse++
 		a.counts.Admitted++
-		a.level.ran(e.Priority, 0)
 		return nil, nil
 	}
 	w := &waiter{envelope: e, decided: make(chan error, 1)}
@@ -131,14 +122,18 @@
 	return w, nil
 }
 
-func (a *Admitter) mayRunLocked(p catkinrun.Priority) bool {
-	return a.inUse < max(1, int(math.Round(slotPart[p]*float64(a.slots))))
+func (a *Admitter) capacityLocked() int {
+	part := fullPart
+	if a.cold {
+		part = coldPart
+	}
+	return max(1, int(math.Floor(part*float64(a.slots))))
 }
 
 // fillLocked gives free slots to waiters.
 func (a *Admitter) fillLocked() {
-	for {
-		w := a.queue.pop(a.mayRunLocked)
+	for a.inUse < a.capacityLocked() {
+		w := a.queue.pop()
 		if w == nil {
 			return
 		}
@@ -148,12 +143,11 @@
 	}
 }
 
-// trimLocked drops the lowest waiters from a queue that is too long.
+// trimLocked drops the least urgent waiters from a queue that is too long.
 func (a *Admitter) trimLocked() {
-	for a.queue.size > max(1, a.slots*queuePerSlot) {
-		w := a.queue.lowest()
+	for a.queue.size > max(1, a.slots) {
+		w := a.queue.last()
 		a.queue.remove(w)
-		a.level.drop(w.envelope.Priority)
 		w.decided <- a.refuseLocked(w.envelope, catkinrun.ReasonOverload, "the queue is full")
 	}
 }
@@ -174,19 +168,14 @@
 	if ctx.Err() != nil {
 		return a.refuseLocked(w.envelope, catkinrun.ReasonDeadline, "the request ended while it waited")
 	}
-	a.level.drop(w.envelope.Priority)
 	return a.refuseLocked(w.envelope, catkinrun.ReasonOverload, "no slot became free in time")
 }
 
 func (a *Admitter) refuseLocked(e catkinrun.Envelope, reason catkinrun.Reason, detail string) error {
 	a.counts.Shed[reason]++
-	a.log.WithFields(logrus.Fields{
-		"request": e.Request, "team": e.Team, "route": e.Route, "rank": e.Rank(),
-		"level": a.level.rank, "in-use": a.inUse, "queued": a.queue.size, "reason": reason,
-	}).Debug("admitter: request shed")
 	return &catkinrun.Refusal{
 		Status: 503, Reason: reason, Outcome: catkinrun.NotRun, RetryAfter: retryAfter, Detail: detail,
-		Level: a.level.rank,
+		Load: a.loadLocked(),
 	}
 }
 
@@ -196,8 +185,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if took > 0 {
-		a.level.served(took)
-		a.services[route] = smooth(a.services[route], took)
+		mean, ok := a.services[route]
+		if !ok {
+			mean = took
+		}
+		a.services[route] = mean + time.Duration(serviceSmoothing*float64(took-mean))
 	}
 	a.releaseLocked()
 }
@@ -205,24 +197,17 @@
 func (a *Admitter) releaseLocked() {
 	a.inUse--
 	a.fillLocked()
-	a.level.roll(a.clock.Now())
-}
-
-// State is what answers carry back.
-type State struct {
-	Level int     // rank below which requests are refused
-	Load  float64 // slots in use and queued, per slot
 }
 
-// State returns the level and the load now.
-func (a *Admitter) State() State {
+// Load returns the slots in use and waited for, per slot in use at most.
+func (a *Admitter) Load() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.level.roll(a.clock.Now())
-	return State{
-		Level: a.level.rank,
-		Load:  float64(a.inUse+a.queue.size) / float64(max(1, a.slots)),
-	}
+	return a.loadLocked()
+}
+
+func (a *Admitter) loadLocked() float64 {
+	return float64(a.inUse+a.queue.size) / float64(a.capacityLocked())
 }
 
 // Counts returns a copy of the totals.
@@ -236,3 +221,10 @@
 	}
 	return counts
 }
+
+// InUse returns the number of requests that run.
+func (a *Admitter) InUse() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inUse
+}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -1,8 +1,6 @@
 package admitter
 
-import (
-	"github.com/catkinrun/catkinrun"
-)
+import "github.com/catkinrun/catkinrun"
 
 // waiter is a queued request. Its channel gets nil when it may run, or a refusal.
 type waiter struct {
@@ -12,14 +10,14 @@
 	queued   bool
 }
 
-// queue orders waiting requests: by priority, then by the teams' virtual times,
-// so that within a priority each team gets an even part of the slots.
+// queue orders waiting requests: by class, then by the teams' virtual times, so that
+// within a class each team gets an even part of the slots.
 type queue struct {
-	lanes [catkinrun.PriorityCount]lane
+	lanes [catkinrun.ClassCount]lane
 	size  int
 }
 
-// lane holds the waiters of one priority.
+// lane holds the waiters of one class.
 type lane struct {
 	waiters []*waiter
 	virtual float64            // finish time of the last waiter that ran
@@ -28,7 +26,7 @@
 
 // push adds a waiter behind its team's others.
 func (q *queue) push(w *waiter) {
-	l := &q.lanes[w.envelope.Priority]
+	l := &q.lanes[w.envelope.Class()]
 	if l.last == nil {
 		l.last = make(map[string]float64)
 	}
@@ -39,11 +37,11 @@
 	q.size++
 }
 
-// pop removes the next waiter among the priorities that may run.
-func (q *queue) pop(mayRun func(catkinrun.Priority) bool) *waiter {
-	for p := catkinrun.PriorityCount - 1; p >= 0; p-- {
-		l := &q.lanes[p]
-		if len(l.waiters) == 0 || !mayRun(catkinrun.Priority(p)) {
+// pop removes the next waiter, nil if there is none.
+func (q *queue) pop() *waiter {
+	for class := range q.lanes {
+		l := &q.lanes[class]
+		if len(l.waiters) == 0 {
 			continue
 		}
 		first := l.first()
@@ -69,7 +67,7 @@
 	if !w.queued {
 		return
 	}
-	l := &q.lanes[w.envelope.Priority]
+	l := &q.lanes[w.envelope.Class()]
 	for i, other := range l.waiters {
 		if other == w {
 			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
@@ -84,11 +82,11 @@
 	}
 }
 
-// lowest returns the waiter to drop when the queue is full: the lowest priority,
-// there the team that waits with most, and of its waiters the last.
-func (q *queue) lowest() *waiter {
-	for p := range q.lanes {
-		waiters := q.lanes[p].waiters
+// last returns the waiter to drop when the queue is full: of the least urgent class
+// the team that waits with most, and of its waiters the last.
+func (q *queue) last() *waiter {
+	for class := len(q.lanes) - 1; class >= 0; class-- {
+		waiters := q.lanes[class].waiters
 		if len(waiters) == 0 {
 			continue
 		}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -1,143 +1,296 @@
-// Package broker divides the rate and burst of each team that this daemon owns
-// among the daemons that see the team's traffic.
+// Package broker deals out the teams' tokens. One daemon, the owner, holds a bucket
+// for each team with the part of its rate and burst that is not divided evenly among
+// all hosts; the others ask it for tokens as their callers need them.
 //
-// The sum of the shares that may be in use never exceeds the team's rate and
-// burst. With every bucket filled at its share's rate, a new share starting
-// empty, and a reduced one truncated, no window lets through more than
-// rate x window + burst. docs/design/rates.md has the argument.
+// Which daemon is the owner stands in a row of the store, and the row's revision is
+// the epoch. An owner deals only while a majority of its jury, hosts chosen by name,
+// keeps asking it under its epoch, and only after an earlier owner's authority has
+// surely ended. So two owners never deal at once, and an owner that the store does not
+// answer goes on. docs/design/rates.md has the argument.
 package broker
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/replicator"
 )
 
-// Limits are the broker's times.
-type Limits struct {
-	Proof time.Duration // age up to which a daemon's proof of currency counts
-	Grace time.Duration // life of a share whose epoch has ended, unless confirmed
-	Idle  time.Duration // after which a silent host's demand counts as nil
+// RowKey is the key of the owner's row in the members' table.
+const RowKey = "owner/rates"
+
+const (
+	// DealtPart is the part of each rate and burst that the owner deals; the rest is
+	// divided evenly among all hosts, so that one which reaches no owner still serves.
+	DealtPart = 0.65
+	// voteLife is how long an Ask counts for the owner's authority: several Asks.
+	voteLife = time.Second
+	// juryLimit bounds the hosts whose Asks count, so that their number does not grow
+	// with the fleet.
+	juryLimit = 15
+	// silence is the time without an answer after which an owner is replaced.
+	silence = 700 * time.Millisecond
+	// lookEvery is the time between two looks at the owner.
+	lookEvery = 250 * time.Millisecond
+)
+
+// Owner is the content of the owner's row.
+type Owner struct {
+	Host        string             `json:"host"`
+	Peer        string             `json:"peer"`
+	Incarnation string             `json:"incarnation"`
+	Epoch       catkinrun.Revision `json:"-"`
+}
+
+// Members knows the hosts.
+type Members interface {
+	Members() []catkinrun.Member
+	Member(host string) (catkinrun.Member, bool)
 }
 
-// Broker keeps the ledgers of the teams that it owns.
+// Teams knows the teams in force.
+type Teams interface {
+	Snapshot() *catkinrun.Snapshot
+}
+
+// Broker deals tokens if this daemon is the owner, and sees to it that there is one.
 type Broker struct {
-	replica *replicator.Replica
+	store   catkinrun.Store
+	members Members
+	teams   Teams
 	clock   catkinrun.Clock
 	log     logrus.FieldLogger
-	limits  Limits
+	table   string
+	self    Owner
 
-	mu      sync.Mutex
-	ledgers map[string]*ledger
+	mu        sync.Mutex
+	owner     Owner
+	votes     map[string]time.Time // last Ask of each host under this epoch
+	heldSince time.Time            // since when a majority has asked without a gap
+	dealing   bool
+	buckets   map[string]*bucket
+	failedAt  time.Time // since when the owner does not answer this daemon, zero if it does
 }
 
-// New returns a broker for the teams whose owner is the replica's daemon.
-func New(replica *replicator.Replica, clock catkinrun.Clock, log logrus.FieldLogger, limits Limits) *Broker {
-	return &Broker{replica: replica, clock: clock, log: log, limits: limits, ledgers: make(map[string]*ledger)}
+// New returns a broker for the daemon that self describes; the owner's row lies in table.
+func New(store catkinrun.Store, members Members, teams Teams, clock catkinrun.Clock, log logrus.FieldLogger, table string, self Owner) *Broker {
+	return &Broker{
+		store: store, members: members, teams: teams, clock: clock, log: log, table: table, self: self,
+		votes: make(map[string]time.Time), buckets: make(map[string]*bucket),
+	}
 }
 
-// Share answers an Ask. Teams that this daemon does not own, and hosts that are
-// not on the roster, get nothing.
-func (b *Broker) Share(_ context.Context, ask *Ask) (*Answer, error) {
-	answer := &Answer{Sequence: ask.Sequence}
-	snapshot, current := b.replica.Current()
-	host, member := snapshot.Host(ask.Host)
-	if !current || !member || host.Incarnation != ask.Incarnation {
-		return answer, nil
+// Apply takes changed rows of the table.
+func (b *Broker) Apply(page catkinrun.Page) {
+	for _, row := range page.Rows {
+		if row.Key == RowKey && !row.Deleted {
+			b.take(row)
+		}
+	}
+}
+
+func (b *Broker) take(row catkinrun.Row) {
+	var owner Owner
+	if err := json.Unmarshal(row.Value, &owner); err != nil {
+		b.log.WithError(err).Warn("broker: owner's row cannot be read")
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if row.Revision <= b.owner.Epoch {
+		return
+	}
+	owner.Epoch = row.Revision
+	b.owner = owner
+	b.failedAt, b.heldSince = time.Time{}, time.Time{}
+	b.dealing = false
+	b.votes = make(map[string]time.Time)
+	b.buckets = make(map[string]*bucket)
+	b.log.WithFields(logrus.Fields{"owner": owner.Host, "epoch": owner.Epoch}).Info("broker: owner known")
+}
+
+// Owner returns the owner that this daemon knows; its epoch is 0 if there is none.
+func (b *Broker) Owner() Owner {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.owner
+}
+
+// Answered notes whether the owner of an epoch answered an Ask of this daemon.
+func (b *Broker) Answered(epoch catkinrun.Revision, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case epoch != b.owner.Epoch:
+	case ok:
+		b.failedAt = time.Time{}
+	case b.failedAt.IsZero():
+		b.failedAt = b.clock.Now()
 	}
+}
+
+// Deal answers an Ask.
+func (b *Broker) Deal(_ context.Context, ask *Ask) (*Answer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	answer := &Answer{Epoch: b.owner.Epoch}
+	if ask.Epoch != b.owner.Epoch || b.owner.Incarnation != b.self.Incarnation {
+		return answer, nil
+	}
+	now := b.clock.Now()
+	b.votes[ask.Host] = now
+	b.authorizeLocked(now)
+	if !b.dealing {
+		return answer, nil
+	}
+	answer.Ready = true
+	snapshot := b.teams.Snapshot()
 	for _, want := range ask.Wants {
-		if grant, ok := b.grant(snapshot, ask, want); ok {
-			answer.Grants = append(answer.Grants, grant)
+		team, ok := snapshot.Team(want.Team)
+		if ok {
+			answer.Grants = append(answer.Grants, Grant{Team: want.Team, Tokens: b.dealLocked(now, team, want)})
 		}
 	}
 	return answer, nil
 }
 
-func (b *Broker) grant(s *catkinrun.Snapshot, ask *Ask, want Want) (Grant, bool) {
-	team, declared := s.Get(catkinrun.KindTeam, want.Team)
-	owner := s.Owner(want.Team)
-	identity := b.replica.Identity()
-	if owner.Host != identity.Host || owner.Incarnation != identity.Incarnation {
-		delete(b.ledgers, want.Team)
-		return Grant{}, false
-	}
-	if !declared {
-		return Grant{}, false // the ledger stays, since shares of it may be in use
-	}
-	l := b.ledger(want.Team, owner.Since)
-	l.fill(b.clock.Now(), *team.Team)
-	b.settle(l, s)
-	entry := l.entry(ask.Host, ask.Incarnation)
-	if entry == nil || ask.Sequence <= entry.sequence {
-		return Grant{}, false
-	}
-	entry.sequence = ask.Sequence
-	entry.heardAt = b.clock.Now()
-	entry.demand = want.Demand
-	grant := Grant{Team: want.Team, Epoch: owner.Since}
-	if !l.ready {
-		grant.Share = l.confirm(entry, want)
-		return grant, true
-	}
-	grant.Share, grant.Tokens = l.allocate(entry, want, *team.Team, b.clock.Now().Add(-b.limits.Idle))
-	b.log.WithFields(logrus.Fields{
-		"team": want.Team, "host": ask.Host, "demand": want.Demand,
-		"rate": grant.Share.Rate, "held": want.Held.Rate, "tokens": grant.Tokens,
-	}).Debug("broker: share granted")
-	return grant, true
-}
-
-// ledger returns the ledger of an epoch; that of an older epoch is dropped.
-func (b *Broker) ledger(team string, epoch catkinrun.Version) *ledger {
-	l, ok := b.ledgers[team]
-	if !ok || l.epoch != epoch {
-		l = newLedger(epoch)
-		b.ledgers[team] = l
-	}
-	return l
-}
-
-// settle makes the ledger ready once nothing granted in an earlier epoch can be
-// in use, and frees the shares of hosts that the roster no longer names.
-//
-// By Proof after the acceptance every current daemon knows the new epoch; by
-// Grace after that it has had its old share confirmed here or has dropped it.
-func (b *Broker) settle(l *ledger, s *catkinrun.Snapshot) {
-	now := b.clock.Now()
-	accepted := b.replica.Accepted()
-	if age, ok := b.replica.AcceptedFor(l.epoch); ok && age >= b.limits.Proof+b.limits.Grace {
-		l.ready = true
-	}
-	for key, e := range l.entries {
-		host, ok := s.Host(key.host)
-		if ok && host.Incarnation == key.incarnation {
-			l.forget(key, e, now.Add(-b.limits.Idle))
-			continue
+func (b *Broker) dealLocked(now time.Time, team catkinrun.Team, want Want) float64 {
+	own, ok := b.buckets[want.Team]
+	if !ok {
+		own = &bucket{filledAt: now}
+		b.buckets[want.Team] = own
+	}
+	own.fill(now, DealtPart*team.Rate, DealtPart*team.Burst)
+	own.put(want.Returned, DealtPart*team.Burst)
+	return own.draw(want.Tokens)
+}
+
+// authorizeLocked decides whether this owner may deal. A host that now asks under this
+// epoch may have counted for the owner before until voteLife after its last Ask there,
+// so a majority must have lasted that long.
+func (b *Broker) authorizeLocked(now time.Time) {
+	if !b.majorityLocked(now) {
+		if b.dealing {
+			b.log.WithField("epoch", b.owner.Epoch).Warn("broker: too few hosts ask, dealing stops")
 		}
-		if e.goneAt.IsZero() && accepted >= s.RosterVersion() {
-			e.goneAt = now
+		b.dealing, b.heldSince = false, time.Time{}
+		return
+	}
+	if b.heldSince.IsZero() {
+		b.heldSince = now
+	}
+	if !b.dealing && now.Sub(b.heldSince) >= voteLife {
+		b.dealing = true
+		b.log.WithField("epoch", b.owner.Epoch).Info("broker: dealing tokens")
+	}
+}
+
+func (b *Broker) majorityLocked(now time.Time) bool {
+	jury := b.jury()
+	count := 0
+	for _, host := range jury {
+		if at, ok := b.votes[host]; ok && now.Sub(at) < voteLife {
+			count++
 		}
-		if !e.goneAt.IsZero() && now.Sub(e.goneAt) >= b.limits.Proof {
-			delete(l.entries, key)
+	}
+	return 2*count > len(jury)
+}
+
+// jury returns the hosts whose Asks count.
+func (b *Broker) jury() []string {
+	members := b.members.Members()
+	hosts := make([]string, 0, len(members))
+	for _, m := range members {
+		hosts = append(hosts, m.Host)
+	}
+	if len(hosts) <= juryLimit {
+		return hosts
+	}
+	return catkinrun.Rendezvous(RowKey, hosts)[:juryLimit]
+}
+
+// Serve claims the ownership when there is no owner that answers, until ctx ends. It
+// implements suture.Service.
+func (b *Broker) Serve(ctx context.Context) error {
+	for {
+		if b.mustClaim() {
+			b.claim(ctx)
+		}
+		if err := b.clock.Wait(ctx, lookEvery); err != nil {
+			return err
 		}
 	}
 }
 
-// Outstanding returns, for each team owned here, the sum of the shares that may
-// be in use.
-func (b *Broker) Outstanding() map[string]Share {
+// mustClaim reports whether this daemon is the one to replace the owner: the first
+// host by name weight at once, any other one after a while.
+func (b *Broker) mustClaim() bool {
+	members := b.members.Members()
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	sums := make(map[string]Share, len(b.ledgers))
-	for team, l := range b.ledgers {
-		sums[team] = l.sum(nil)
+	owner, failedAt := b.owner, b.failedAt
+	b.mu.Unlock()
+	if owner.Incarnation == b.self.Incarnation {
+		return false
 	}
-	return sums
+	var hosts []string
+	present := false
+	for _, m := range members {
+		if m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving {
+			present = true
+		}
+		if !m.Leaving && m.Host != owner.Host {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	failed := time.Duration(0)
+	if !failedAt.IsZero() {
+		failed = b.clock.Now().Sub(failedAt)
+	}
+	if present && failed < silence {
+		return false
+	}
+	ranked := catkinrun.Rendezvous(RowKey, hosts)
+	first := len(ranked) > 0 && ranked[0] == b.self.Host
+	return first || failed > 2*silence
+}
+
+func (b *Broker) claim(ctx context.Context) {
+	value, err := json.Marshal(b.self)
+	if err != nil {
+		b.log.WithError(err).Error("broker: owner's row cannot be written")
+		return
+	}
+	epoch := b.Owner().Epoch
+	page, err := b.store.Commit(ctx, catkinrun.Transaction{
+		Checks: []catkinrun.Check{{Table: b.table, Key: RowKey, Revision: epoch}},
+		Writes: []catkinrun.Write{{Table: b.table, Key: RowKey, Value: value}},
+	})
+	if err != nil {
+		b.log.WithError(err).WithField("epoch", epoch).Info("broker: ownership not claimed")
+		return
+	}
+	b.take(catkinrun.Row{Key: RowKey, Value: value, Revision: page.Revision})
+}
+
+// bucket holds the tokens of one team that are not dealt yet.
+type bucket struct {
+	tokens   float64
+	filledAt time.Time
+}
+
+func (b *bucket) fill(now time.Time, rate, depth float64) {
+	b.tokens = min(b.tokens+rate*now.Sub(b.filledAt).Seconds(), depth)
+	b.filledAt = now
+}
+
+func (b *bucket) put(tokens, depth float64) { b.tokens = min(b.tokens+tokens, depth) }
+
+func (b *bucket) draw(want float64) float64 {
+	drawn := max(0, min(want, b.tokens))
+	b.tokens -= drawn
+	return drawn
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -3,17 +3,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"github.com/catkinrun/catkinrun/clock"
-	"github.com/catkinrun/catkinrun/daemon"
 	"github.com/catkinrun/catkinrun/declarer"
 	"github.com/catkinrun/catkinrun/loader"
 )
@@ -46,14 +44,11 @@
 	var settings *loader.FileError
 	var declaration *declarer.FileError
 	var usage *UsageError
-	var call *CallError
 	switch {
 	case err == nil:
 		return exitOK
 	case errors.As(err, &settings), errors.As(err, &declaration), errors.As(err, &usage):
 		return exitUsage
-	case errors.As(err, &call):
-		return call.exitStatus()
 	}
 	return exitFailed
 }
@@ -69,7 +64,6 @@
 func (e *UsageError) Unwrap() error { return e.Cause }
 
 func newRoot() *cobra.Command {
-	target := &target{}
 	root := &cobra.Command{
 		Use:   "catkinrun",
 		Short: "Overload control for service call graphs",
@@ -82,54 +76,15 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Cause: err} })
-	root.PersistentFlags().StringVar(&target.url, "operator", os.Getenv("CATKINRUN_OPERATOR"),
-		"URL of a daemon's operator listener (default $CATKINRUN_OPERATOR)")
-	root.PersistentFlags().DurationVar(&target.patience, "timeout", defaultPatience, "longest wait for a change to come into force")
-	root.PersistentFlags().StringVar(&target.token, "token", "", "operator's token (default $CATKINRUN_TOKEN)")
 	for _, add := range commands {
-		root.AddCommand(add(target))
+		root.AddCommand(add())
 	}
 	return root
 }
 
 // commands lists the subcommands; a new one is added here only.
-var commands = []func(*target) *cobra.Command{
-	newDaemon, newApply, newValidate, newGet, newDelete, newWatch, newHistory, newKey, newStatus, newExplain,
-}
-
-func newDaemon(*target) *cobra.Command {
-	var file string
-	command := &cobra.Command{
-		Use:     "daemon --settings FILE",
-		Short:   "Run the daemon of this host",
-		Example: "  catkinrun daemon --settings /etc/catkinrun.yaml",
-		Args:    noArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			settings, err := loader.Load(file)
-			if err != nil {
-				return err
-			}
-			log := newLog(settings.Log, c.ErrOrStderr())
-			d, err := daemon.New(settings, clock.System{}, log)
-			if err != nil {
-				return err
-			}
-			return d.Serve(c.Context())
-		},
-	}
-	command.Flags().StringVar(&file, "settings", "", "YAML file with this host's settings")
-	return command
-}
-
-func newLog(s loader.Log, out io.Writer) *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(out)
-	level, err := logrus.ParseLevel(s.Level)
-	if err != nil {
-		level = logrus.InfoLevel
-	}
-	log.SetLevel(level)
-	return log
+var commands = []func() *cobra.Command{
+	newDaemon, newValidate,
 }
 
 func noArgs(c *cobra.Command, args []string) error { return usage(cobra.NoArgs(c, args)) }
@@ -145,3 +100,24 @@
 	}
 	return &UsageError{Cause: err}
 }
+
+func printLine(c *cobra.Command, line string) {
+	_, _ = io.WriteString(c.OutOrStdout(), line+"\n") // standard output may be closed
+}
+
+func newValidate() *cobra.Command {
+	return &cobra.Command{
+		Use:     "validate DIR",
+		Short:   "Check declarations without a daemon",
+		Example: "  catkinrun validate declarations",
+		Args:    exactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			declared, err := declarer.Read(args[0])
+			if err != nil {
+				return err
+			}
+			printLine(c, fmt.Sprintf("%d resources are valid", len(declared)))
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/commander/daemon.go
@@ -0,0 +1,80 @@
+package commander
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/daemon"
+	"github.com/catkinrun/catkinrun/journaler"
+	"github.com/catkinrun/catkinrun/loader"
+)
+
+// settingsVariable names the settings file where the flag does not.
+const settingsVariable = "CATKINRUN_SETTINGS"
+
+func newDaemon() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:     "daemon --settings FILE",
+		Short:   "Run the daemon of this host",
+		Example: "  catkinrun daemon --settings /etc/catkinrun.yaml",
+		Args:    noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			settings, err := loader.Load(file)
+			if err != nil {
+				return err
+			}
+			level, err := logrus.ParseLevel(settings.Log.Level)
+			if err != nil {
+				return &UsageError{Cause: err}
+			}
+			system := clock.System{}
+			journal := journaler.New(system, c.OutOrStdout(), level)
+			d, err := daemon.New(settings, system, journal)
+			if err != nil {
+				return err
+			}
+			r := &reloader{file: file, journal: journal, signals: make(chan os.Signal, 1)}
+			signal.Notify(r.signals, syscall.SIGHUP)
+			go r.run()
+			return d.Serve(c.Context())
+		},
+	}
+	command.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "YAML file with this host's settings (default $"+settingsVariable+")")
+	return command
+}
+
+// reloader reads the settings again when it is told to. Addresses are fixed while the
+// process runs; of the rest only the log level is taken over.
+type reloader struct {
+	file    string
+	journal *journaler.Journal
+	signals chan os.Signal
+}
+
+func (r *reloader) run() {
+	for range r.signals {
+		r.reload()
+	}
+}
+
+func (r *reloader) reload() {
+	settings, err := loader.Load(r.file)
+	if err != nil {
+		r.journal.Log().WithError(err).Error("daemon: settings not reloaded, the old ones stay")
+		return
+	}
+	level, err := logrus.ParseLevel(settings.Log.Level)
+	if err != nil {
+		r.journal.Log().WithError(&catkinrun.InvalidError{Where: r.file, Field: "log.level", Reason: err.Error()}).Error("daemon: settings not reloaded, the old ones stay")
+		return
+	}
+	r.journal.Log().SetLevel(level)
+	r.journal.Log().WithField("level", level.String()).Info("daemon: settings reloaded")
+}
--- /dev/null
+++ b/configurer/configurer.go
@@ -0,0 +1,61 @@
+// Package configurer holds the configuration in force at this daemon. It only ever
+// moves to a higher version.
+package configurer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+)
+
+// Configurer holds one snapshot. It is safe for concurrent use.
+type Configurer struct {
+	clock   catkinrun.Clock
+	log     logrus.FieldLogger
+	current atomic.Pointer[catkinrun.Snapshot]
+
+	mu        sync.Mutex
+	appliedAt time.Time
+}
+
+// New returns a configurer that knows no configuration.
+func New(clock catkinrun.Clock, log logrus.FieldLogger) *Configurer {
+	c := &Configurer{clock: clock, log: log}
+	c.current.Store(catkinrun.EmptySnapshot())
+	return c
+}
+
+// Snapshot returns the configuration in force; its version is 0 if none is known.
+func (c *Configurer) Snapshot() *catkinrun.Snapshot { return c.current.Load() }
+
+// Offer brings a configuration into force if it is newer than the one that is.
+// It reports whether it did, and fails with *catkinrun.InvalidError.
+func (c *Configurer) Offer(data catkinrun.SnapshotData, source string) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.current.Load().Version()
+	if data.Version <= before {
+		return false, nil
+	}
+	next, err := catkinrun.NewSnapshot(data)
+	if err != nil {
+		return false, err
+	}
+	c.current.Store(next)
+	c.appliedAt = c.clock.Now()
+	c.log.WithFields(logrus.Fields{
+		"version": data.Version, "before": before, "source": source, "resources": len(data.Resources),
+	}).Info("configurer: configuration in force")
+	return true, nil
+}
+
+// Age returns the time since the configuration in force came into force.
+func (c *Configurer) Age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Sub(c.appliedAt)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,13 +1,13 @@
-// Package daemon puts the parts of one daemon together. A Go program can embed it:
-//
-//	d, err := daemon.New(settings, clock.System{}, log)
-//	err = d.Serve(ctx) // until ctx ends; then it leaves gracefully
+// Package daemon puts the parts of one host's daemon together, serves its listeners
+// and stops it in order.
 package daemon
 
 import (
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,186 +17,212 @@
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/admitter"
 	"github.com/catkinrun/catkinrun/broker"
-	"github.com/catkinrun/catkinrun/committer"
-	"github.com/catkinrun/catkinrun/deduplicator"
+	"github.com/catkinrun/catkinrun/configurer"
 	"github.com/catkinrun/catkinrun/dialer"
 	"github.com/catkinrun/catkinrun/exchanger"
 	"github.com/catkinrun/catkinrun/filterer"
-	"github.com/catkinrun/catkinrun/leveler"
+	"github.com/catkinrun/catkinrun/follower"
+	"github.com/catkinrun/catkinrun/journaler"
 	"github.com/catkinrun/catkinrun/limiter"
 	"github.com/catkinrun/catkinrun/loader"
+	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/messenger"
-	"github.com/catkinrun/catkinrun/operator"
-	"github.com/catkinrun/catkinrun/puller"
+	"github.com/catkinrun/catkinrun/platform"
 	"github.com/catkinrun/catkinrun/registrar"
-	"github.com/catkinrun/catkinrun/replicator"
 	"github.com/catkinrun/catkinrun/retrier"
 	"github.com/catkinrun/catkinrun/router"
-	"github.com/catkinrun/catkinrun/storer"
-	"github.com/catkinrun/catkinrun/tracker"
+	"github.com/catkinrun/catkinrun/syncer"
 )
 
 const (
-	// dialTimeout is the longest wait for a connection.
-	dialTimeout = time.Second
-	// peerConnections bounds the connections to one other daemon.
-	peerConnections = 512
-	// serverConnections bounds the connections to the backend server beside us; the
-	// admitter's slots keep the number below the server's own limit.
-	serverConnections = 0
-	// idlePeers is the number of idle connections kept to one other daemon.
-	idlePeers = 64
-	// idleServer is the number of idle connections kept to the backend server.
-	idleServer = 400
-	// brokerIdle is the silence after which a host's demand counts as nil.
-	brokerIdle = 5 * time.Second
-	// shareGrace is the life of a share whose broker has changed, unless confirmed.
-	shareGrace = 2 * time.Second
-	// limitWait is the longest wait of a request for its team's token.
-	limitWait = 300 * time.Millisecond
-	// claimWait is the longest wait for a holder of an idempotency key.
-	claimWait = time.Second
-	// firstSlots is the admission before the server announces its slots.
+	// dialTimeout is the longest wait for a connection to another daemon or the server:
+	// many times the longest way within a region, and below the first retransmission.
+	dialTimeout = 500 * time.Millisecond
+	// storeDialTimeout is the same for the store, which may be slow.
+	storeDialTimeout = time.Second
+	// peerIdle is the time for which an unused connection to another daemon is kept. It
+	// is below listenIdle, so that no request meets the other end's closing.
+	peerIdle = 30 * time.Second
+	// serverIdle is the time for which an unused connection to the server is kept until
+	// the server has told its own: the shortest that it can tell is 1 s.
+	serverIdle = 700 * time.Millisecond
+	// peerConnections and serverConnections bound the unused connections kept to one
+	// address; their descriptors stay far below a process's limit.
+	peerConnections   = 32
+	serverConnections = 256
+	storeConnections  = 4
+	// firstSlots is assumed until the server announces itself.
 	firstSlots = 1
+	// memoryPart is the part of the allowed memory at which the collector works harder.
+	memoryPart = 0.7
 )
 
 // Daemon is one host's process.
 type Daemon struct {
-	settings     loader.Settings
-	clock        catkinrun.Clock
-	log          *logrus.Logger
-	metrics      *metrics.Set
-	replica      *replicator.Replica
-	committer    *committer.Committer
-	puller       *puller.Puller
-	registrar    *registrar.Registrar
-	broker       *broker.Broker
-	limiter      *limiter.Limiter
-	deduplicator *deduplicator.Deduplicator
-	gateway      *filterer.Gateway
-	api          *operator.API
-	peers        *messenger.Client
-	listeners    []*listener
-	supervisor   *suture.Supervisor
+	settings loader.Settings
+	clock    catkinrun.Clock
+	journal  *journaler.Journal
+	log      *logrus.Logger
+	metrics  *metrics.Set
+
+	configurer *configurer.Configurer
+	locator    *locator.Locator
+	registrar  *registrar.Registrar
+	broker     *broker.Broker
+	limiter    *limiter.Limiter
+	syncer     *syncer.Syncer
+	admitter   *admitter.Admitter
+	peers      *messenger.Client
+	gateway    *filterer.Gateway
+	services   []suture.Service
+	listeners  []*listener
+	leaving    atomic.Bool
+	running    atomic.Int64 // requests of callers and of other daemons
 }
 
-// New builds a daemon from checked settings. It fails if a listener's address or a
-// TLS file cannot be used.
-func New(settings loader.Settings, clock catkinrun.Clock, log *logrus.Logger) (*Daemon, error) {
-	secure, err := loadTLS(settings.TLS)
-	if err != nil {
-		return nil, err
-	}
-	d := &Daemon{settings: settings, clock: clock, log: log, metrics: metrics.NewSet()}
-	transport := dialer.Transport(dialTimeout, peerConnections, idlePeers)
-	transport.TLSClientConfig = secure.client()
-	d.build(transport, secure.scheme())
-	if err := d.listen(secure); err != nil {
+// New builds a daemon and opens its listeners. It fails with *ListenError.
+func New(settings loader.Settings, clock catkinrun.Clock, journal *journaler.Journal) (*Daemon, error) {
+	d := &Daemon{settings: settings, clock: clock, journal: journal, log: journal.Log(), metrics: metrics.NewSet()}
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.Memory) * (1 << 20)))
+	d.build()
+	if err := d.listen(); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
 // build makes the parts, each with what it depends on.
-func (d *Daemon) build(peerTransport *http.Transport, scheme string) {
+func (d *Daemon) build() {
 	s := d.settings
-	times := s.Times
-	identity := replicator.Identity{Host: s.Host, Zone: s.Zone, Incarnation: operator.NewChangeID()}
-	proof := time.Duration(times.Proof)
-	store := storer.New(s.Platform, time.Duration(times.Store), &http.Client{Transport: dialer.Transport(dialTimeout, 0, idlePeers)})
-	d.peers = messenger.New(&http.Client{Transport: peerTransport}, scheme, s.FleetKey)
-	d.replica = replicator.New(identity, replicator.Limits{Proof: proof, Report: proof * 3 / 4}, d.clock)
-	d.committer = committer.New(store, store, d.replica, d.clock)
-	d.puller = puller.New(d.replica, d.committer, d.peers, d.clock, d.part("puller"), time.Duration(times.Pull), s.Listen.Peer)
-	d.registrar = registrar.New(store, d.committer, d.replica, d.clock, d.part("registrar"),
-		registrar.Limits{Interval: time.Duration(times.Pull), Silence: time.Duration(times.Silence)}, s.Listen.Peer, operator.NewChangeID)
-	d.broker = broker.New(d.replica, d.clock, d.part("broker"), broker.Limits{Proof: proof, Grace: shareGrace, Idle: brokerIdle})
-	d.limiter = limiter.New(d.replica, d, d.clock, d.part("limiter"),
-		limiter.Limits{Interval: time.Duration(times.Share), Grace: shareGrace, Wait: limitWait})
-	d.deduplicator = deduplicator.New(d.replica, d, d.clock, d.part("deduplicator"),
-		deduplicator.Limits{Retention: time.Duration(times.Retention), Claim: claimWait, Interval: time.Duration(times.Pull)})
+	self := catkinrun.Member{Host: s.Host, Zone: s.Zone, Peer: s.Listen.Peer, Incarnation: newIncarnation()}
+	peers := exchanger.New(dialTimeout, peerIdle, peerConnections)
+	d.peers = messenger.New(&http.Client{Transport: peers.Transport()})
+	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdle, storeConnections)}, time.Duration(s.Times.Store))
+	d.configurer = configurer.New(d.clock, d.log)
+	d.locator = locator.New(d.log)
+	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self)
+	d.broker = broker.New(store, d.locator, d.configurer, d.clock, d.log, locator.Table,
+		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: self.Incarnation})
+	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host)
+	configuration := follower.New(store, d.clock, d.log, platform.ConfigurationTable, d.applyConfiguration)
+	members := follower.New(store, d.clock, d.log, locator.Table, d.applyMembers)
+	failing := func() bool { return configuration.Failing() || members.Failing() }
+	d.syncer = syncer.New(d.configurer, d.locator, d.peers, d.clock, d.log, s.Listen.Peer, failing)
+	d.admitter = admitter.New(firstSlots, d.clock, d.log)
 	parts := &filterer.Parts{
-		Replica: d.replica, Limiter: d.limiter, Leveler: leveler.New(d.clock),
-		Router: router.New(d.replica, d.clock, d.part("router"), s.Host, s.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		Budget: retrier.New(), Registrar: d.registrar, Deduplicator: d.deduplicator,
-		Admitter: admitter.New(firstSlots, d.clock, d.part("admitter")), Tracker: tracker.New(),
-		Peers:  exchanger.New(peerTransport),
-		Server: exchanger.New(dialer.Transport(dialTimeout, serverConnections, idleServer)),
-		Scheme: scheme, FleetKey: s.FleetKey, Clock: d.clock, Log: d.part("filterer"),
+		Self: self, Service: s.Service, Server: s.Server, Dialect: platform.Dialect{},
+		Configurer: d.configurer, Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
+		Budget: retrier.New(float64(s.Retries), d.locator.Count), Registrar: d.registrar, Admitter: d.admitter, Syncer: d.syncer,
+		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdle, serverConnections),
+		Clock: d.clock, Journal: d.journal,
 	}
 	d.gateway = filterer.NewGateway(parts, rand.Float64, d.count)
-	d.api = operator.New(operator.Parts{
-		Replica: d.replica, Committer: d.committer, Limiter: d.limiter, Broker: d.broker, Leveler: parts.Leveler,
-		Admitter: parts.Admitter, Tracker: parts.Tracker, Deduplicator: d.deduplicator,
-		Operators: s.Operators, Metrics: d.metrics, Clock: d.clock, Log: d.part("operator"),
-	})
-	d.registerMetrics(parts)
+	d.services = []suture.Service{d.journal, configuration, members, d.registrar, d.broker, d.limiter, d.syncer}
+	d.registerMetrics()
+}
+
+func (d *Daemon) applyConfiguration(page catkinrun.Page, _ bool) {
+	for _, row := range page.Rows {
+		if row.Key != platform.ConfigurationKey || row.Deleted {
+			continue
+		}
+		data, err := platform.DecodeConfiguration(row.Value)
+		if err == nil {
+			_, err = d.configurer.Offer(data, "store")
+		}
+		if err != nil {
+			d.log.WithError(err).WithField("revision", row.Revision).Error("daemon: configuration cannot be read")
+		}
+	}
+}
+
+func (d *Daemon) applyMembers(page catkinrun.Page, whole bool) {
+	d.locator.Apply(page, whole)
+	d.broker.Apply(page)
+	if whole {
+		d.registrar.Adopt(d.locator.Row(d.settings.Host))
+	}
 }
 
-// Serve runs the daemon until ctx ends, and then leaves: it stops being picked,
-// serves what is running and what still arrives, and closes its listeners.
+// ready reports whether callers may send new work here.
+func (d *Daemon) ready() bool {
+	return !d.leaving.Load() && d.configurer.Snapshot().Version() > 0
+}
+
+// Serve runs the daemon until ctx ends, and then stops it in order.
 func (d *Daemon) Serve(ctx context.Context) error {
-	d.supervisor = suture.NewSimple("catkinrun " + d.settings.Host)
-	for _, service := range []suture.Service{d.puller, d.registrar, d.limiter, d.deduplicator} {
-		d.supervisor.Add(service)
+	supervisor := suture.New("catkinrun "+d.settings.Host, suture.Spec{EventHook: d.event})
+	for _, s := range d.services {
+		supervisor.Add(s)
 	}
 	for _, l := range d.listeners {
-		d.supervisor.Add(l)
+		supervisor.Add(l)
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	stopped := d.supervisor.ServeBackground(background)
-	d.log.WithFields(logrus.Fields{"host": d.settings.Host, "zone": d.settings.Zone}).Info("daemon: started")
+	stopped := supervisor.ServeBackground(background)
+	d.log.WithFields(logrus.Fields{"host": d.settings.Host, "zone": d.settings.Zone, "service": d.settings.Service}).Info("daemon: started")
 	select {
 	case err := <-stopped:
 		return err
 	case <-ctx.Done():
 	}
 	d.leave(background)
+	d.log.Info("daemon: stopped")
 	stop()
 	<-stopped
-	d.log.Info("daemon: stopped")
+	d.journal.Flush()
 	return nil
 }
 
+func (d *Daemon) event(e suture.Event) {
+	d.log.WithField("event", e.String()).Warn("daemon: a part has ended")
+}
+
 const (
-	// leaveTimeout is the longest wait for the roster change of a leaving host.
-	leaveTimeout = 5 * time.Second
-	// leaveRetry is the wait before the roster change is tried again.
-	leaveRetry = 200 * time.Millisecond
-	// closeTimeout is the longest wait for running requests of a leaving host.
-	closeTimeout = 2 * time.Minute
+	// servePart is the part of the time to stop during which callers are served as before:
+	// the platform takes a daemon out after two answers a second apart.
+	servePart = 0.45
+	// drainPart is the part after which the listeners are closed and only running requests
+	// are waited for.
+	drainPart = 0.6
+	// endPart is the part after which the process ends in any case.
+	endPart = 0.95
+	// quietTime is the time without a request after which a leaving daemon ends early.
+	quietTime = 1500 * time.Millisecond
+	// lookTime is the time between two looks at the running requests.
+	lookTime = 50 * time.Millisecond
 )
 
-// leave is the order of a planned stop: the host stops being picked, its callers
-// go elsewhere, it hands over what it owns, and last it closes the peer listener.
+// leave is the order of a planned stop: the daemon says that it is not ready and tells
+// the others, serves what still arrives, asks callers to go elsewhere, and closes its
+// listeners once the running requests have ended.
 func (d *Daemon) leave(ctx context.Context) {
-	drain := time.Duration(d.settings.Times.Drain)
-	d.registrar.StartLeaving()
-	d.find("caller").server.SetKeepAlivesEnabled(false)
-	_ = d.clock.Wait(ctx, drain)
-	closing, cancel := context.WithTimeout(ctx, closeTimeout)
+	startedAt := d.clock.Now()
+	stop := time.Duration(d.settings.Times.Stop)
+	d.leaving.Store(true)
+	d.registrar.Leave()
+	d.log.WithField("running", d.running.Load()).Info("daemon: leaving")
+	d.waitUntil(ctx, startedAt.Add(time.Duration(servePart*float64(stop))))
+	for _, l := range d.listeners {
+		l.server.SetKeepAlivesEnabled(false)
+	}
+	d.waitUntil(ctx, startedAt.Add(time.Duration(drainPart*float64(stop))))
+	closing, cancel := context.WithTimeout(ctx, startedAt.Add(time.Duration(endPart*float64(stop))).Sub(d.clock.Now()))
 	defer cancel()
-	d.close(closing, "caller")
-	d.deduplicator.Flush()
-	d.handOver(ctx)
-	_ = d.clock.Wait(ctx, drain)
-	d.close(closing, "peer")
-	d.close(closing, "local")
-	d.close(closing, "operator")
+	for _, name := range []string{"caller", "peer"} {
+		d.close(closing, name)
+	}
 }
 
-// handOver takes the host off the roster, so that others own what it owned.
-func (d *Daemon) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	for {
-		err := d.registrar.Leave(ctx)
-		if err == nil {
-			return
+// waitUntil waits until the time, or until no request has been running for quietTime.
+func (d *Daemon) waitUntil(ctx context.Context, end time.Time) {
+	busyAt := d.clock.Now()
+	for now := busyAt; now.Before(end); now = d.clock.Now() {
+		if d.running.Load() > 0 {
+			busyAt = now
 		}
-		if d.clock.Wait(ctx, leaveRetry) != nil {
-			d.log.WithError(err).Warn("daemon: left without a roster change")
+		if now.Sub(busyAt) > quietTime || d.clock.Wait(ctx, lookTime) != nil {
 			return
 		}
 	}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -2,37 +2,33 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/catkinrun/catkinrun/broker"
-	"github.com/catkinrun/catkinrun/deduplicator"
+	"github.com/catkinrun/catkinrun/dialer"
 	"github.com/catkinrun/catkinrun/filterer"
-	"github.com/catkinrun/catkinrun/loader"
 	"github.com/catkinrun/catkinrun/messenger"
-	"github.com/catkinrun/catkinrun/puller"
+	"github.com/catkinrun/catkinrun/platform"
+	"github.com/catkinrun/catkinrun/syncer"
 )
 
 const (
 	// headerTimeout is the longest wait for a request's headers.
 	headerTimeout = 10 * time.Second
-	// readTimeout is the longest wait for a whole request.
-	readTimeout = 2 * time.Minute
-	// idleTimeout is the time after which an unused connection is closed.
-	idleTimeout = 3 * time.Minute
+	// listenIdle is the time after which an unused connection is closed. It is above the
+	// idle times that callers are promised, so that callers close first.
+	listenIdle = 75 * time.Second
 	// maxHeader bounds the headers of a request, in bytes.
 	maxHeader = 64 << 10
 )
 
-// ListenError reports a listener or a TLS file that cannot be used.
+// ListenError reports a listener that cannot be opened.
 type ListenError struct {
 	Name  string
 	Cause error
@@ -52,7 +48,7 @@
 
 // Serve takes requests until the server is closed. It implements suture.Service.
 func (l *listener) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() }) // the process ends
 	defer stop()
 	err := l.server.Serve(l.net)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -64,59 +60,53 @@
 // String names the service in the supervisor's messages.
 func (l *listener) String() string { return l.name + " listener" }
 
-func (d *Daemon) listen(secure *security) error {
+func (d *Daemon) listen() error {
 	addresses := d.settings.Listen
 	plans := []struct {
 		name, address string
 		handler       http.Handler
-		tls           *tls.Config
 	}{
-		{"peer", addresses.Peer, d.peerHandler(), secure.peerServer()},
-		{"local", addresses.Local, d.localHandler(), nil},
-		{"caller", addresses.Caller, d.gateway.Caller(), secure.server()},
-		{"operator", addresses.Operator, d.api.Handler(), secure.server()},
+		{"peer", addresses.Peer, d.counted(d.peerHandler())},
+		{"announce", addresses.Announce, platform.Announcements(d.registrar)},
+		{"caller", addresses.Caller, d.counted(d.gateway.Caller())},
+		{"ready", addresses.Ready, platform.Readiness(d.ready)},
+		{"operator", addresses.Operator, d.operatorHandler()},
 	}
 	for _, p := range plans {
-		socket, err := net.Listen("tcp", p.address)
+		socket, err := dialer.Listen(p.address)
 		if err != nil {
 			return &ListenError{Name: "listen." + p.name, Cause: err}
 		}
-		if p.tls != nil {
-			socket = tls.NewListener(socket, p.tls)
+		server := &http.Server{
+			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: listenIdle, MaxHeaderBytes: maxHeader,
 		}
-		d.listeners = append(d.listeners, &listener{name: p.name, net: socket, server: newServer(p.handler)})
+		d.listeners = append(d.listeners, &listener{name: p.name, net: socket, server: server})
 	}
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
+// counted counts the requests that run.
+func (d *Daemon) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.running.Add(1)
+		defer d.running.Add(-1)
+		next.ServeHTTP(w, r)
+	})
 }
 
-// peerHandler serves the other daemons.
+// peerHandler serves the other daemons: calls, which bear an envelope, and messages.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	messenger.Handle(mux, puller.PullProcedure, d.puller.Pull)
-	messenger.Handle(mux, puller.KnockProcedure, d.puller.Knocked)
-	messenger.Handle(mux, broker.Procedure, d.broker.Share)
-	messenger.Handle(mux, deduplicator.ClaimProcedure, d.deduplicator.Claimed)
-	messenger.Handle(mux, deduplicator.SyncProcedure, d.deduplicator.Synced)
-	mux.Handle(filterer.CallPath+"/", d.gateway.Peer())
-	return d.gateway.Guard(mux)
-}
-
-// AnnouncePath takes the announcements of the backend server on the local listener.
-const AnnouncePath = "/catkinrun/announce"
-
-// localHandler serves the backend server beside this daemon.
-func (d *Daemon) localHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("POST "+AnnouncePath, d.registrar)
-	mux.Handle("/", d.gateway.Local())
-	return mux
+	messenger.Handle(mux, syncer.Procedure, d.syncer.Answer)
+	messenger.Handle(mux, broker.Procedure, d.broker.Deal)
+	calls := d.gateway.Peer()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(filterer.EnvelopeHeader) != "" {
+			calls.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (d *Daemon) find(name string) *listener {
@@ -134,63 +124,3 @@
 		d.log.WithError(err).WithField("listener", name).Warn("daemon: requests were still running")
 	}
 }
-
-// security holds the daemon's certificate and the fleet's authority; nil files give
-// plain connections.
-type security struct {
-	certificate tls.Certificate
-	authority   *x509.CertPool
-}
-
-func loadTLS(files loader.TLS) (*security, error) {
-	if !files.Enabled() {
-		return nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
-	if err != nil {
-		return nil, &ListenError{Name: "tls.certificate", Cause: err}
-	}
-	pem, err := os.ReadFile(files.CA)
-	if err != nil {
-		return nil, &ListenError{Name: "tls.ca", Cause: err}
-	}
-	authority := x509.NewCertPool()
-	if !authority.AppendCertsFromPEM(pem) {
-		return nil, &ListenError{Name: "tls.ca", Cause: &loader.FileError{File: files.CA, Cause: os.ErrInvalid}}
-	}
-	return &security{certificate: certificate, authority: authority}, nil
-}
-
-func (s *security) scheme() string {
-	if s == nil {
-		return "http"
-	}
-	return "https"
-}
-
-func (s *security) server() *tls.Config {
-	if s == nil {
-		return nil
-	}
-	return &tls.Config{Certificates: []tls.Certificate{s.certificate}, MinVersion: tls.VersionTLS13}
-}
-
-// peerServer asks for the other daemon's certificate.
-func (s *security) peerServer() *tls.Config {
-	config := s.server()
-	if config == nil {
-		return nil
-	}
-	config.ClientAuth = tls.RequireAndVerifyClientCert
-	config.ClientCAs = s.authority
-	return config
-}
-
-func (s *security) client() *tls.Config {
-	config := s.server()
-	if config == nil {
-		return nil
-	}
-	config.RootCAs = s.authority
-	return config
-}
--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/broker"
+)
+
+// Status is what a daemon believes, for the operators' reading commands.
+type Status struct {
+	Host       string             `json:"host"`
+	Version    catkinrun.Version  `json:"version"` // of the configuration in force
+	AgeSeconds float64            `json:"age-seconds"`
+	Ready      bool               `json:"ready"`
+	Running    int64              `json:"running"`
+	Load       float64            `json:"load"` // of the server beside the daemon, per slot
+	Owner      broker.Owner       `json:"owner"`
+	Members    []catkinrun.Member `json:"members"`
+}
+
+// operatorHandler serves metrics and status. It changes nothing.
+func (d *Daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.metrics.WritePrometheus(w) })
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(d.status()); err != nil {
+			d.log.WithError(err).Debug("daemon: status not delivered")
+		}
+	})
+	return mux
+}
+
+func (d *Daemon) status() Status {
+	return Status{
+		Host: d.settings.Host, Version: d.configurer.Snapshot().Version(), AgeSeconds: d.configurer.Age().Seconds(),
+		Ready: d.ready(), Running: d.running.Load(), Load: d.admitter.Load(), Owner: d.broker.Owner(), Members: d.locator.Members(),
+	}
+}
--- a/declarer/declarer.go
+++ b/declarer/declarer.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -56,9 +57,6 @@
 		}
 		all = append(all, resources...)
 	}
-	if err := checkTeams(path, all); err != nil {
-		return nil, err
-	}
 	slices.SortStableFunc(all, compare)
 	return all, nil
 }
@@ -117,9 +115,6 @@
 }
 
 func check(r catkinrun.Resource, file string, declared map[string]string) error {
-	if r.Kind == catkinrun.KindHost {
-		return &catkinrun.InvalidError{Where: "host " + r.Name, Field: "kind", Reason: "hosts join by themselves"}
-	}
 	if err := r.Validate(); err != nil {
 		return err
 	}
@@ -131,93 +126,85 @@
 	return nil
 }
 
-// checkTeams checks that each declared key's team is declared with it.
-func checkTeams(path string, all []catkinrun.Resource) error {
-	for _, r := range all {
-		if r.Kind != catkinrun.KindKey {
-			continue
-		}
-		known := slices.ContainsFunc(all, func(t catkinrun.Resource) bool {
-			return t.Kind == catkinrun.KindTeam && t.Name == r.Key.Team
-		})
-		if !known {
-			return &FileError{File: path, Cause: &catkinrun.NotFoundError{Kind: "team", Name: r.Key.Team}}
-		}
-	}
-	return nil
+// Change says what applying declared resources does to one resource.
+type Change struct {
+	Before, After *catkinrun.Resource // nil if it is new, or deleted
 }
 
-// Plan returns the mutations that bring the declared resources into force. With
-// prune, resources of the declared kinds that are not declared are deleted; keys
-// are only ever deleted by name, since they are issued, not declared.
-func Plan(declared, current []catkinrun.Resource, prune bool) []catkinrun.Mutation {
-	var mutations []catkinrun.Mutation
+// Plan returns the resources that result from applying the declared ones, and what
+// changes. Teams keep the keys that have been issued. With prune, resources that are
+// not declared are deleted.
+func Plan(declared, current []catkinrun.Resource, prune bool) ([]catkinrun.Resource, []Change) {
+	var result []catkinrun.Resource
+	var changes []Change
 	for _, want := range declared {
 		have := find(current, want)
-		if !same(want, have) {
-			mutations = append(mutations, catkinrun.Mutation{Replace: have.Version, Resource: want})
+		if have != nil && have.Team != nil {
+			want = withKeys(want, have.Team.Keys)
+		}
+		result = append(result, want)
+		if have == nil || !reflect.DeepEqual(want, *have) {
+			changes = append(changes, Change{Before: have, After: &want})
 		}
-	}
-	if !prune {
-		return mutations
 	}
 	for _, have := range current {
-		prunable := have.Kind == catkinrun.KindTeam || have.Kind == catkinrun.KindRoute
-		if prunable && find(declared, have).Name == "" {
-			mutations = append(mutations, catkinrun.Mutation{Replace: have.Version, Delete: true, Resource: have})
+		if find(declared, have) != nil {
+			continue
+		}
+		if !prune {
+			result = append(result, have)
+			continue
 		}
+		changes = append(changes, Change{Before: &have})
 	}
-	return mutations
+	return result, changes
 }
 
-func find(list []catkinrun.Resource, r catkinrun.Resource) catkinrun.Resource {
-	for _, other := range list {
-		if other.Kind == r.Kind && other.Name == r.Name {
-			return other
+// withKeys returns a team that keeps issued keys beside the declared ones.
+func withKeys(r catkinrun.Resource, issued []string) catkinrun.Resource {
+	team := *r.Team
+	team.Keys = slices.Clone(team.Keys)
+	for _, key := range issued {
+		if !slices.Contains(team.Keys, key) {
+			team.Keys = append(team.Keys, key)
 		}
 	}
-	return catkinrun.Resource{}
+	r.Team = &team
+	return r
 }
 
-// same compares what is declared; version and actor are not.
-func same(a, b catkinrun.Resource) bool {
-	switch {
-	case a.Team != nil && b.Team != nil:
-		return *a.Team == *b.Team
-	case a.Key != nil && b.Key != nil:
-		return *a.Key == *b.Key
-	case a.Route != nil && b.Route != nil:
-		return *a.Route == *b.Route
-	}
-	return false
+func find(list []catkinrun.Resource, r catkinrun.Resource) *catkinrun.Resource {
+	for i, other := range list {
+		if other.Kind == r.Kind && other.Name == r.Name {
+			return &list[i]
+		}
+	}
+	return nil
 }
 
-// Describe says in one line what a mutation does, and warns of what it takes away.
-func Describe(m catkinrun.Mutation, current []catkinrun.Resource) string {
-	r := m.Resource
-	have := find(current, r)
-	label := fmt.Sprintf("%s %s", r.Kind, r.Name)
+// String says in one line what a change does, and warns of what it takes away.
+func (c Change) String() string {
 	switch {
-	case m.Delete && r.Kind == catkinrun.KindTeam:
-		return "- " + label + " (its keys stop working)"
-	case m.Delete:
-		return "- " + label
-	case have.Name == "":
-		return "+ " + label + spec(r)
-	case r.Kind == catkinrun.KindTeam && r.Team.Rate < have.Team.Rate:
-		return fmt.Sprintf("~ %s rate falls from %g to %g", label, have.Team.Rate, r.Team.Rate)
-	}
-	return "~ " + label + spec(have) + " ->" + spec(r)
+	case c.After == nil && c.Before.Team != nil:
+		return "- " + label(c.Before) + " (its keys stop working)"
+	case c.After == nil:
+		return "- " + label(c.Before)
+	case c.Before == nil:
+		return "+ " + label(c.After) + spec(c.After)
+	}
+	return "~ " + label(c.After) + spec(c.Before) + " ->" + spec(c.After)
 }
 
-func spec(r catkinrun.Resource) string {
+func label(r *catkinrun.Resource) string { return string(r.Kind) + " " + r.Name }
+
+func spec(r *catkinrun.Resource) string {
 	switch {
 	case r.Team != nil:
-		return fmt.Sprintf(" rate %g burst %g", r.Team.Rate, r.Team.Burst)
-	case r.Key != nil:
-		return fmt.Sprintf(" of %s withdrawn %t", r.Key.Team, r.Key.Withdrawn)
+		return fmt.Sprintf(" rate %g burst %g keys %d", r.Team.Rate, r.Team.Burst, len(r.Team.Keys))
 	case r.Route != nil:
-		return fmt.Sprintf(" %s %s to %s, %s", r.Route.Method, r.Route.Path, r.Route.Service, r.Route.Priority)
+		return fmt.Sprintf(" %s%s to %v, priority %d", r.Route.Domain, r.Route.Prefix, r.Route.Targets, r.Route.Priority)
+	case r.Service != nil:
+		return fmt.Sprintf(" health %s connections %d", r.Service.Health, r.Service.MaxConnections)
 	}
 	return ""
 }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -54,10 +54,10 @@
 	return true
 }
 
-// Transport returns a transport over counted connections, at most maxConns to one
-// address; 0 means no limit.
-func Transport(dialTimeout time.Duration, maxConns, maxIdle int) *http.Transport {
-	d := net.Dialer{Timeout: dialTimeout}
+// Transport returns a transport over counted connections, which keeps up to maxIdle
+// unused ones to one address for idle.
+func Transport(dialTimeout, idle time.Duration, maxIdle int) *http.Transport {
+	d := net.Dialer{Timeout: dialTimeout, Control: limitSilence, KeepAliveConfig: keepAlive()}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := d.DialContext(ctx, network, address)
@@ -66,16 +66,12 @@
 			}
 			return &Conn{Conn: conn}, nil
 		},
-		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     idle,
 		DisableCompression:  true,
 	}
 }
 
-// idleTimeout is the time after which an unused connection is closed.
-const idleTimeout = 90 * time.Second
-
 // Watch follows one request.
 type Watch struct {
 	mu   sync.Mutex
@@ -115,3 +111,13 @@
 	}
 	return w.conn == nil || w.conn.seal(w.mark)
 }
+
+// Close ends the request's connection, so that nothing that comes on it later is taken
+// for another answer.
+func (w *Watch) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn != nil {
+		_ = w.conn.Close() // it is useless either way
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -5,26 +5,40 @@
 	"time"
 )
 
-// StoreError reports that the platform's store did not answer. Whether a write
-// took effect is unknown.
+// StoreError reports that the platform's store did not answer a call as asked.
+// Whether a write took effect is unknown.
 type StoreError struct {
 	Operation string
+	Status    int // HTTP status, 0 if there was no answer
 	Cause     error
 }
 
-func (e *StoreError) Error() string { return fmt.Sprintf("store: %s: %v", e.Operation, e.Cause) }
+func (e *StoreError) Error() string {
+	return fmt.Sprintf("store: %s: status %d: %v", e.Operation, e.Status, e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e *StoreError) Unwrap() error { return e.Cause }
 
+// HistoryError reports that the store has discarded the changes that a watch asked for.
+type HistoryError struct {
+	Table string
+	After Revision
+}
+
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("store: the changes of table %s after revision %d are gone", e.Table, e.After)
+}
+
 // CheckError reports that a transaction's check did not hold and nothing was written.
 type CheckError struct {
-	Key string
+	Table, Key string
+	Current    Row // as it is now; revision 0 if absent
 }
 
-func (e *CheckError) Error() string { return "store: row changed: " + e.Key }
+func (e *CheckError) Error() string { return "store: row changed: " + e.Table + "/" + e.Key }
 
-// NotFoundError reports a resource or an object that does not exist.
+// NotFoundError reports a resource that does not exist.
 type NotFoundError struct {
 	Kind string
 	Name string
@@ -32,19 +46,15 @@
 
 func (e *NotFoundError) Error() string { return fmt.Sprintf("%s %q does not exist", e.Kind, e.Name) }
 
-// ConflictError reports a write that names a resource version which is no
-// longer the current one.
+// ConflictError reports a configuration that another operator has replaced meanwhile.
 type ConflictError struct {
-	Kind    Kind
-	Name    string
-	Replace Version // version that the write wanted to replace
+	Replace Version // version that the change wanted to replace
 	Current Version // version in force
-	Actor   string  // who made the current version
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s %q is at version %d, made by %s; the change replaces version %d: read it again and repeat the change",
-		e.Kind, e.Name, e.Current, e.Actor, e.Replace)
+	return fmt.Sprintf("the configuration is at version %d and the change was made for version %d: read it again and repeat the change",
+		e.Current, e.Replace)
 }
 
 // InvalidError reports a value that breaks a rule of its field.
@@ -58,19 +68,6 @@
 	return fmt.Sprintf("%s: %s: %s", e.Where, e.Field, e.Reason)
 }
 
-// UnknownResultError reports a change whose commit could neither be confirmed nor ruled out.
-type UnknownResultError struct {
-	ChangeID string
-	Cause    error
-}
-
-func (e *UnknownResultError) Error() string {
-	return fmt.Sprintf("change %s: result unknown, look it up by its id before repeating it: %v", e.ChangeID, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *UnknownResultError) Unwrap() error { return e.Cause }
-
 // Refusal ends a request without a backend server's answer. Outcome says
 // whether the request can have run.
 type Refusal struct {
@@ -79,14 +76,16 @@
 	Outcome    Outcome       // not-run or unknown
 	RetryAfter time.Duration // least wait before the caller tries again; 0 for none
 	Detail     string        // one sentence for the caller
-	Level      int           // admission level of the server that shed; 0 if none did
+	Reached    bool          // bytes of the request went to a backend server
+	Load       float64       // of the server that refused, 0 if none did
+	Version    Version       // configuration of the daemon that refused, 0 if unknown
 }
 
 func (r *Refusal) Error() string { return fmt.Sprintf("refused: %s: %s", r.Reason, r.Detail) }
 
-// WithLevel returns a copy with the admission level replaced.
-func (r *Refusal) WithLevel(level int) *Refusal {
+// WithReached returns a copy that says that a server was sent the request.
+func (r *Refusal) WithReached() *Refusal {
 	next := *r
-	next.Level = level
+	next.Reached = true
 	return &next
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -7,24 +7,64 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
+	"sync"
+	"time"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/dialer"
 )
 
-// wholeLimit is the size up to which an answer is read whole before it is passed
-// on, so that one that breaks off is never passed on in part.
-const wholeLimit = 64 << 10
+const (
+	// wholeLimit is the size up to which an answer is read whole before it is passed
+	// on, so that one that breaks off is never passed on in part.
+	wholeLimit = 64 << 10
+	// idlePart is the part of a server's idle timeout for which a connection is kept, so
+	// that a request does not meet its closing.
+	idlePart = 0.7
+)
 
-// Exchanger sends requests over one transport.
+// Exchanger sends requests to other daemons or to a backend server.
 type Exchanger struct {
-	transport http.RoundTripper
+	dialTimeout time.Duration
+	maxIdle     int
+
+	mu        sync.Mutex
+	idle      time.Duration
+	transport *http.Transport
+}
+
+// New returns an exchanger that keeps up to maxIdle unused connections to an address
+// for idle.
+func New(dialTimeout, idle time.Duration, maxIdle int) *Exchanger {
+	return &Exchanger{
+		dialTimeout: dialTimeout, maxIdle: maxIdle, idle: idle,
+		transport: dialer.Transport(dialTimeout, idle, maxIdle),
+	}
+}
+
+// LearnIdle follows the idle timeout that the other end has told. Connections that are
+// open already keep to the one before.
+func (e *Exchanger) LearnIdle(told time.Duration) {
+	idle := time.Duration(idlePart * float64(told))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if idle <= 0 || idle == e.idle {
+		return
+	}
+	before := e.transport
+	e.idle = idle
+	e.transport = dialer.Transport(e.dialTimeout, idle, e.maxIdle)
+	before.CloseIdleConnections()
 }
 
-// New returns an exchanger; transport comes from dialer.Transport.
-func New(transport http.RoundTripper) *Exchanger {
-	return &Exchanger{transport: transport}
+// Transport returns the transport that new requests use.
+func (e *Exchanger) Transport() *http.Transport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.transport
 }
 
 // onceReader hides that a body could be read again: the transport must never send
@@ -33,19 +73,23 @@
 
 func (onceReader) Close() error { return nil }
 
-// Request returns the HTTP request that carries a call to address.
-func Request(ctx context.Context, c *catkinrun.Call, scheme, address, pathPrefix string) *http.Request {
-	target := *c.URL
-	target.Scheme = scheme
-	target.Host = address
-	target.Path = pathPrefix + target.Path
-	target.RawPath = ""
+// Request returns the HTTP request that carries a call to address, with method, path,
+// query, domain and body as the caller sent them.
+func Request(ctx context.Context, c *catkinrun.Call, address string) *http.Request {
+	target := &url.URL{Scheme: "http", Host: address, Opaque: c.Target}
+	if strings.HasPrefix(c.Target, "//") { // would be taken for a host
+		*target = *c.URL
+		target.Scheme, target.Host = "http", address
+	}
 	request := &http.Request{
-		Method: c.Method, URL: &target, Host: address,
+		Method: c.Method, URL: target, Host: c.Domain,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: c.Header.Clone(),
 		Body:   onceReader{bytes.NewReader(c.Body)},
 	}
+	if len(request.Header["User-Agent"]) == 0 {
+		request.Header["User-Agent"] = []string{""} // else the library adds its own
+	}
 	request.ContentLength = int64(len(c.Body))
 	if c.Stream != nil {
 		request.Body = onceReader{c.Stream}
@@ -54,28 +98,42 @@
 	return request.WithContext(ctx)
 }
 
+// Exchange is one request's answer and the means to end its connection.
+type Exchange struct {
+	Answer *catkinrun.Answer
+	watch  *dialer.Watch
+}
+
+// Discard ends the connection of an answer that is not to be trusted.
+func (x *Exchange) Discard() {
+	if x.Answer.Stream != nil {
+		_ = x.Answer.Stream.Close() // nothing of it is used
+	}
+	x.watch.Close()
+}
+
 // Do sends the request and returns its answer. It fails with *catkinrun.Refusal,
 // which is not-run only if no byte of the request went out.
-func (e *Exchanger) Do(request *http.Request) (*catkinrun.Answer, error) {
-	var watch dialer.Watch
+func (e *Exchanger) Do(request *http.Request) (*Exchange, error) {
+	watch := &dialer.Watch{}
 	request = request.WithContext(watch.Trace(request.Context()))
-	response, err := e.transport.RoundTrip(request)
+	response, err := e.Transport().RoundTrip(request)
 	if err != nil {
-		return nil, e.failure(request.Context(), &watch, err)
+		return nil, failure(request.Context(), watch, err)
 	}
 	answer := &catkinrun.Answer{Status: response.StatusCode, Header: response.Header}
 	head, err := io.ReadAll(io.LimitReader(response.Body, wholeLimit+1))
 	switch {
 	case err != nil:
-		_ = response.Body.Close()
+		_ = response.Body.Close() // it broke off already
 		return nil, broken(request.Context(), err)
 	case len(head) <= wholeLimit:
-		_ = response.Body.Close()
+		_ = response.Body.Close() // it was read to its end
 		answer.Body = head
 	default:
 		answer.Stream = &joined{Reader: io.MultiReader(bytes.NewReader(head), response.Body), closer: response.Body}
 	}
-	return answer, nil
+	return &Exchange{Answer: answer, watch: watch}, nil
 }
 
 // joined reads what was read ahead and then the rest.
@@ -86,20 +144,20 @@
 
 func (j *joined) Close() error { return j.closer.Close() }
 
-func (e *Exchanger) failure(ctx context.Context, watch *dialer.Watch, err error) error {
+func failure(ctx context.Context, watch *dialer.Watch, err error) error {
 	if !watch.Unsent() {
 		return broken(ctx, err)
 	}
 	return &catkinrun.Refusal{
 		Status: http.StatusServiceUnavailable, Reason: catkinrun.ReasonUnreachable, Outcome: catkinrun.NotRun,
-		Detail: "the host could not be reached",
+		Detail: "the host could not be reached: " + strconv.Quote(err.Error()),
 	}
 }
 
 // broken tells an answer that broke off from one that did not come in time.
 func broken(ctx context.Context, err error) error {
 	refusal := &catkinrun.Refusal{
-		Status: http.StatusBadGateway, Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown,
+		Status: http.StatusBadGateway, Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown, Reached: true,
 		Detail: "the answer broke off: " + strconv.Quote(err.Error()),
 	}
 	if ctx.Err() != nil {
--- a/filterer/admit.go
+++ b/filterer/admit.go
@@ -3,42 +3,49 @@
 import (
 	"context"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/admitter"
-	"github.com/catkinrun/catkinrun/registrar"
 )
 
 type admit struct {
-	admitter  *admitter.Admitter
-	registrar *registrar.Registrar
-	clock     catkinrun.Clock
+	parts *Parts
 }
 
-func newAdmit(p *Parts) catkinrun.Filter {
-	return &admit{admitter: p.Admitter, registrar: p.Registrar, clock: p.Clock}
-}
+func newAdmit(p *Parts) catkinrun.Filter { return &admit{parts: p} }
 
 // Process waits for a slot of the server and holds it until the answer has arrived.
 func (f *admit) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
-	server, open := f.registrar.Server()
-	if !open || server.Service != c.Service && c.Service != "" {
-		return refuseLater(catkinrun.ReasonLeaving, "the server takes no new work")
+	p := f.parts
+	server, open := p.Registrar.Server()
+	if !open || server.Service != c.Envelope.Service {
+		f.log(c, server, "admit: the server takes no new work of the service")
+		return refuseLater(catkinrun.ReasonLeaving, "the server takes no new work of the service")
 	}
-	f.admitter.SetSlots(server.Slots)
-	if err := f.admitter.Acquire(ctx, c.Envelope); err != nil {
+	p.Admitter.SetServer(server.Slots, server.Cold > 0)
+	enteredAt := p.Clock.Now()
+	if err := p.Admitter.Acquire(ctx, c.Envelope); err != nil {
+		f.log(c, server, "admit: "+asRefusal(err).Detail)
 		return err
 	}
-	startedAt := f.clock.Now()
+	startedAt := p.Clock.Now()
+	c.Envelope.TimeLeft -= startedAt.Sub(enteredAt)
 	err := next(ctx, c)
 	if err != nil {
-		f.admitter.Release(c.Envelope.Route, 0)
+		p.Admitter.Release(c.Envelope.Route, 0)
 		return err
 	}
 	c.Answer.OnEnd(func(bool) {
-		f.admitter.Release(c.Envelope.Route, f.clock.Now().Sub(startedAt))
+		p.Admitter.Release(c.Envelope.Route, p.Clock.Now().Sub(startedAt))
 	})
-	state := f.admitter.State()
-	c.Answer.Level = max(c.Answer.Level, state.Level)
-	c.Answer.Load = state.Load
+	c.Answer.Load = p.Admitter.Load()
 	return nil
 }
+
+func (f *admit) log(c *catkinrun.Call, server catkinrun.Server, message string) {
+	f.parts.Journal.Failed(logrus.Fields{
+		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "class": c.Envelope.Class(),
+		"server": server.ID, "server-service": server.Service, "draining": server.Draining,
+		"load": f.parts.Admitter.Load(), "time-left-ms": c.Envelope.TimeLeft.Milliseconds(),
+	}, message)
+}
--- a/filterer/authenticate.go
+++ b/filterer/authenticate.go
@@ -5,46 +5,36 @@
 	"net/http"
 
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/authenticator"
-	"github.com/catkinrun/catkinrun/replicator"
+	"github.com/catkinrun/catkinrun/configurer"
 )
 
 type authenticate struct {
-	replica *replicator.Replica
+	configurer *configurer.Configurer
 }
 
-func newAuthenticate(p *Parts) catkinrun.Filter { return &authenticate{replica: p.Replica} }
+func newAuthenticate(p *Parts) catkinrun.Filter { return &authenticate{configurer: p.Configurer} }
 
-// Process finds the team of the caller's key. Open routes need no key; all others
-// need a current configuration, since an old one may hold a withdrawn key.
+// Process finds the team of the caller's key. Open routes need no key; a request on
+// one without a key is a call that a backend server makes for a request of its own.
 func (f *authenticate) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	secret := c.Secret
 	c.Secret = ""
-	dedupeKey := c.Envelope.DedupeKey
-	c.Envelope.DedupeKey = "" // of a team only, so that no caller gets another's answer
-	snapshot, current := f.replica.Current()
-	if !current {
-		if c.Open {
-			return next(ctx, c)
-		}
-		return refuseLater(catkinrun.ReasonStale, "this host has no current proof of its configuration")
+	snapshot := f.configurer.Snapshot()
+	if !snapshot.HasTeams() {
+		return next(ctx, c)
 	}
-	key, ok := authenticator.Check(snapshot, secret)
+	name, ok := snapshot.TeamOfKey(secret)
 	switch {
 	case ok:
-		c.Envelope.KeyID = key.Name
-		c.Envelope.Team = key.Key.Team
-		c.Envelope.DedupeKey = bindDedupeKey(key.Key.Team, dedupeKey)
-	case !c.Open:
+		c.Envelope.Team = name
+		c.Envelope.KeyMark = catkinrun.KeyMark(secret)
+		if team, _ := snapshot.Team(name); team.Priority != nil {
+			c.Envelope.Priority = *team.Priority
+		}
+	case !c.Route.Open:
 		return refuse(http.StatusUnauthorized, catkinrun.ReasonKey, "the key is unknown or withdrawn")
+	default:
+		c.Envelope.Call = secret == ""
 	}
 	return next(ctx, c)
 }
-
-// bindDedupeKey sets a key apart from the same key of other teams.
-func bindDedupeKey(team, key string) string {
-	if key == "" || team == "" {
-		return ""
-	}
-	return team + " " + key
-}
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -2,47 +2,90 @@
 
 import (
 	"context"
-	"strconv"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/exchanger"
-	"github.com/catkinrun/catkinrun/registrar"
-	"github.com/catkinrun/catkinrun/tracker"
 )
 
 type forward struct {
-	server    *exchanger.Exchanger
-	registrar *registrar.Registrar
-	tracker   *tracker.Tracker
+	parts *Parts
 }
 
-func newForward(p *Parts) catkinrun.Filter {
-	return &forward{server: p.Server, registrar: p.Registrar, tracker: p.Tracker}
-}
+func newForward(p *Parts) catkinrun.Filter { return &forward{parts: p} }
 
-// Process runs the request on the server beside this daemon. The server learns a
-// call handle and the time left, nothing else of the envelope.
+// Process runs the request on the server beside this daemon and judges its answer.
 func (f *forward) Process(ctx context.Context, c *catkinrun.Call, _ catkinrun.Handler) error {
-	server, _ := f.registrar.Server()
-	ctx, cancel := context.WithCancel(ctx)
-	handle, running := f.tracker.Start(ctx, c.Envelope)
-	end := func() {
-		f.tracker.End(handle)
-		cancel()
+	p := f.parts
+	server, _ := p.Registrar.Server()
+	if c.Envelope.TimeLeft <= 0 {
+		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
-	request := exchanger.Request(ctx, c, "http", server.Address, "")
-	dropOwnHeaders(request.Header)
-	request.Header.Set(HandleHeader, handle)
-	request.Header.Set(TimeoutHeader, strconv.FormatInt(c.Envelope.TimeLeft.Milliseconds(), 10))
-	answer, err := f.server.Do(request)
+	request := exchanger.Request(ctx, c, p.Server)
+	p.Dialect.TellServer(request.Header, catkinrun.ServerFacts{
+		ID: c.Envelope.Request, TimeLeft: c.Envelope.TimeLeft, Instance: server.ID, Caller: c.Envelope.Caller, Team: c.Envelope.Team,
+	})
+	exchange, err := p.Backend.Do(request)
 	if err != nil {
-		end()
+		f.log(c, server, 0, asRefusal(err).Detail)
+		if asRefusal(err).Reason == catkinrun.ReasonUnreachable && ctx.Err() == nil {
+			p.Registrar.Refused(server.ID, asRefusal(err).Detail)
+		}
+		return err
+	}
+	facts := p.Dialect.ReadAnswer(exchange.Answer.Status, exchange.Answer.Header)
+	if err := f.judge(c, server, exchange, facts); err != nil {
+		f.log(c, server, exchange.Answer.Status, asRefusal(err).Detail)
 		return err
 	}
-	dropOwnHeaders(answer.Header)
-	answer.Level = running.Level()
-	answer.Unspent = running.Allowance()
-	answer.OnEnd(func(bool) { end() })
-	c.Answer = answer
+	p.Backend.LearnIdle(facts.IdleTimeout)
+	dropOwnHeaders(exchange.Answer.Header)
+	exchange.Answer.Failed = exchange.Answer.Status >= http.StatusInternalServerError
+	c.Answer = exchange.Answer
+	return nil
+}
+
+// judge refuses an answer that is not the server's own, whole work on this request.
+func (f *forward) judge(c *catkinrun.Call, server catkinrun.Server, x *exchanger.Exchange, facts catkinrun.AnswerFacts) error {
+	status := x.Answer.Status
+	switch {
+	case facts.ID != "" && facts.ID != c.Envelope.Request:
+		x.Discard()
+		return brokenAnswer("the answer belongs to another request")
+	case facts.Misdirected:
+		f.parts.Registrar.Refused(server.ID, "another server has the address")
+		return refuseLater(catkinrun.ReasonLeaving, "another server has the address").WithReached()
+	case facts.NotRun:
+		return refuseLater(catkinrun.ReasonRejected, "the server did not run the request").WithReached()
+	case status < 300 && (!facts.Signed || x.Answer.Header.Get("Content-Encoding") != ""):
+		x.Discard()
+		return brokenAnswer("the answer is not the server's own")
+	case promisesNotRun(status) || !facts.Signed && status < http.StatusInternalServerError:
+		return brokenAnswer("the server's status would promise what it does not know")
+	}
 	return nil
 }
+
+// promisesNotRun reports whether callers take a status for a promise.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func brokenAnswer(detail string) *catkinrun.Refusal {
+	return &catkinrun.Refusal{
+		Status: http.StatusBadGateway, Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown, Reached: true, Detail: detail,
+	}
+}
+
+func (f *forward) log(c *catkinrun.Call, server catkinrun.Server, status int, detail string) {
+	f.parts.Journal.Failed(logrus.Fields{
+		"request": c.Envelope.Request, "route": c.Envelope.Route, "server": server.ID, "status": status, "detail": detail,
+		"time-left-ms": c.Envelope.TimeLeft.Milliseconds(),
+	}, "forward: the server gave no answer that can be used")
+}
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -2,206 +2,173 @@
 
 import (
 	"bytes"
-	"context"
-	"crypto/rand"
-	"crypto/subtle"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
+	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/authenticator"
-	"github.com/catkinrun/catkinrun/messenger"
 )
 
 const (
 	// bufferLimit is the size up to which a request's body is read before it is sent
 	// on; larger ones are streamed and never sent twice.
-	bufferLimit = 1 << 20
-	// MaxBody bounds a request's body, in bytes.
-	MaxBody = 64 << 20
-	// maxDedupeKey bounds an Idempotency-Key, in bytes.
-	maxDedupeKey = 128
-	// requestIDBytes makes request ids unique.
-	requestIDBytes = 16
+	bufferLimit = 64 << 10
+	// maxBody bounds a request's body where the configuration does not, in bytes.
+	maxBody = 64 << 20
+	// maxTarget bounds the wait that a caller may state.
+	maxTimeLeft = 10 * time.Minute
 )
 
 // Gateway turns HTTP requests into calls and answers back into HTTP.
 type Gateway struct {
-	caller, local, peer catkinrun.Handler
-	fleetKey            string
-	jitter              func() float64
-	count               func(stage Stage, outcome string)
+	parts        *Parts
+	caller, peer catkinrun.Handler
+	jitter       func() float64
+	count        func(stage Stage, outcome string, took time.Duration)
 }
 
 // NewGateway builds the chains. jitter spreads Retry-After, 0 to 1; count takes
 // the end of each request.
-func NewGateway(parts *Parts, jitter func() float64, count func(Stage, string)) *Gateway {
+func NewGateway(parts *Parts, jitter func() float64, count func(Stage, string, time.Duration)) *Gateway {
 	peer := Chain(Peer, parts, nil)
-	return &Gateway{
-		caller:   Chain(Caller, parts, peer),
-		local:    Chain(Local, parts, peer),
-		peer:     peer,
-		fleetKey: parts.FleetKey,
-		jitter:   jitter,
-		count:    count,
-	}
+	return &Gateway{parts: parts, caller: Chain(Caller, parts, peer), peer: peer, jitter: jitter, count: count}
 }
 
-// Caller handles requests from outside. Whatever they say in the system's headers
-// is dropped.
+// Caller handles the requests of callers on this host. Whatever they say in the
+// system's headers is dropped.
 func (g *Gateway) Caller() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, err := newCall(w, r)
-		if err == nil {
-			dropOwnHeaders(c.Header)
-			c.Secret = authenticator.TakeSecret(c.Header)
-			err = startEnvelope(c)
+		c := g.newCall(r)
+		dropOwnHeaders(c.Header)
+		facts := g.parts.Dialect.TakeRequest(c.Header)
+		c.Envelope.Request, c.Secret, c.TimeLeft = facts.ID, facts.Secret, min(facts.TimeLeft, maxTimeLeft)
+		err := g.readBody(w, r, c)
+		if facts.ID == "" {
+			err = refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the request has no id")
 		}
-		g.run(w, r, Caller, g.caller, c, err)
-	})
-}
-
-// Local handles the calls that the backend server beside this daemon makes.
-func (g *Gateway) Local() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, err := newCall(w, r)
 		if err == nil {
-			c.Handle = c.Header.Get(HandleHeader)
-			dropOwnHeaders(c.Header)
-			_ = authenticator.TakeSecret(c.Header)
-			err = startEnvelope(c)
+			err = g.caller(r.Context(), c)
+		}
+		if err != nil {
+			g.refuseCaller(w, c, asRefusal(err))
+			return
 		}
-		g.run(w, r, Local, g.local, c, err)
+		g.relay(w, Caller, c)
 	})
 }
 
 // Peer handles the calls that other daemons send.
 func (g *Gateway) Peer() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, err := newCall(w, r)
+		c := g.newCall(r)
+		envelope, err := openEnvelope(c.Header.Get(EnvelopeHeader))
+		dropOwnHeaders(c.Header)
+		c.Envelope = envelope
+		w.Header().Set(versionHeader, strconv.FormatUint(uint64(g.parts.Configurer.Snapshot().Version()), 10))
+		if err != nil {
+			err = refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the envelope cannot be read: "+err.Error())
+		} else {
+			err = g.readBody(w, r, c)
+		}
 		if err == nil {
-			c.URL.Path = strings.TrimPrefix(c.URL.Path, CallPath)
-			err = openSealed(c)
+			err = g.peer(r.Context(), c)
 		}
-		g.run(w, r, Peer, g.peer, c, err)
-	})
-}
-
-// Guard lets only requests pass that bear the fleet key.
-func (g *Gateway) Guard(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key := r.Header.Get(messenger.FleetKeyHeader)
-		if subtle.ConstantTimeCompare([]byte(key), []byte(g.fleetKey)) != 1 {
-			writeRefusal(w, refuse(http.StatusForbidden, catkinrun.ReasonPeer, "the fleet key is missing or wrong"), "", g.jitter)
+		if err != nil {
+			refusal := asRefusal(err)
+			g.count(Peer, string(refusal.Reason), g.since(c))
+			writeRefusalReport(w.Header(), refusal, c.Envelope.Request)
+			writeRefusal(w, refusal, c.Envelope.Request)
 			return
 		}
-		r.Header.Del(messenger.FleetKeyHeader)
-		next.ServeHTTP(w, r)
+		writeReport(w.Header(), c.Answer, c.Envelope.Request)
+		g.relay(w, Peer, c)
 	})
 }
 
-func newCall(w http.ResponseWriter, r *http.Request) (*catkinrun.Call, error) {
-	c := &catkinrun.Call{Method: r.Method, URL: r.URL, Header: r.Header, Length: r.ContentLength}
-	c.Envelope.Request = newRequestID()
+func (g *Gateway) newCall(r *http.Request) *catkinrun.Call {
+	c := &catkinrun.Call{
+		Method: r.Method, Domain: r.Host, URL: r.URL, Target: r.RequestURI, Header: r.Header,
+		Length: r.ContentLength, StartedAt: g.parts.Clock.Now(),
+	}
 	DropHopHeaders(c.Header)
-	body := http.MaxBytesReader(w, r.Body, MaxBody)
+	return c
+}
+
+// readBody reads a body whole if it is short.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *catkinrun.Call) error {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	limit := g.parts.Configurer.Snapshot().Limits().BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	if r.ContentLength > limit {
+		return refuse(http.StatusRequestEntityTooLarge, catkinrun.ReasonBadRequest, "the body is too large")
+	}
+	body := http.MaxBytesReader(w, r.Body, limit)
 	head, err := io.ReadAll(io.LimitReader(body, bufferLimit+1))
 	if err != nil {
-		return c, refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the body broke off or is too large")
+		return refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the body broke off or is too large")
 	}
 	if len(head) <= bufferLimit {
 		c.Body = head
-		return c, nil
+		return nil
 	}
 	c.Stream = io.MultiReader(bytes.NewReader(head), body)
-	return c, nil
-}
-
-func newRequestID() string {
-	raw := make([]byte, requestIDBytes)
-	_, _ = rand.Read(raw) // never fails
-	return hex.EncodeToString(raw)
-}
-
-// startEnvelope begins a call tree. The idempotency key is bound to the team later.
-func startEnvelope(c *catkinrun.Call) error {
-	c.Envelope.Allowance = catkinrun.MaxAllowance
-	key := c.Header.Get("Idempotency-Key")
-	if len(key) > maxDedupeKey {
-		return refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "Idempotency-Key is longer than "+strconv.Itoa(maxDedupeKey))
-	}
-	c.Envelope.DedupeKey = key
 	return nil
 }
 
-func openSealed(c *catkinrun.Call) error {
-	envelope, err := openEnvelope(c.Header.Get(EnvelopeHeader))
-	if err != nil {
-		return refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the envelope cannot be read")
-	}
-	dropOwnHeaders(c.Header)
-	c.Envelope = envelope
-	return nil
-}
+func (g *Gateway) since(c *catkinrun.Call) time.Duration { return g.parts.Clock.Now().Sub(c.StartedAt) }
 
-func (g *Gateway) run(w http.ResponseWriter, r *http.Request, stage Stage, chain catkinrun.Handler, c *catkinrun.Call, err error) {
-	if err == nil {
-		err = chain(r.Context(), c)
-	}
-	if err != nil {
-		refusal := asRefusal(err)
-		g.count(stage, string(refusal.Reason))
-		if stage != Peer {
-			refusal = refusal.WithLevel(0) // for daemons only
-		}
-		writeRefusal(w, refusal, c.Envelope.Request, g.jitter)
-		return
-	}
-	g.count(stage, "answered")
-	g.relay(r.Context(), w, stage, c)
-}
-
-// asRefusal finds the refusal in an error. An error of another type leaves open
-// whether the request ran.
-func asRefusal(err error) *catkinrun.Refusal {
-	var refusal *catkinrun.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return &catkinrun.Refusal{
-		Status: http.StatusInternalServerError, Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown, Detail: "internal error",
+// refuseCaller ends a caller's request with a refusal and says why in the log.
+func (g *Gateway) refuseCaller(w http.ResponseWriter, c *catkinrun.Call, r *catkinrun.Refusal) {
+	g.count(Caller, string(r.Reason), g.since(c))
+	final := *r
+	if final.RetryAfter > 0 {
+		final.RetryAfter = time.Duration(float64(final.RetryAfter) * (0.75 + g.jitter()/2))
 	}
+	g.parts.Journal.Failed(logrus.Fields{
+		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "team": c.Envelope.Team,
+		"status": final.Status, "reason": final.Reason, "outcome": final.Outcome, "detail": final.Detail,
+		"version": c.Envelope.Version, "tried": len(c.Tried), "took-ms": g.since(c).Milliseconds(),
+		"retry-after-ms": final.RetryAfter.Milliseconds(),
+	}, "gateway: request refused")
+	g.parts.Dialect.Refuse(w.Header(), c.Envelope.Request, &final)
+	writeRefusal(w, &final, c.Envelope.Request)
 }
 
 // relay passes an answer on. One that breaks off ends the connection, so that its
 // reader never takes a part for the whole.
-func (g *Gateway) relay(_ context.Context, w http.ResponseWriter, stage Stage, c *catkinrun.Call) {
+func (g *Gateway) relay(w http.ResponseWriter, stage Stage, c *catkinrun.Call) {
 	answer := c.Answer
 	h := w.Header()
 	DropHopHeaders(answer.Header)
 	for name, values := range answer.Header {
 		h[name] = values
 	}
-	h.Set(RequestHeader, c.Envelope.Request)
-	if stage == Peer {
-		writeReport(h, answer)
+	if answer.Header.Get("Date") == "" {
+		h["Date"] = nil // the server's answer has none
 	}
 	if answer.Stream == nil {
-		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		g.count(stage, "answered", g.since(c))
+		if c.Method != http.MethodHead {
+			h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		}
 		w.WriteHeader(answer.Status)
-		_, _ = w.Write(answer.Body)
+		_, _ = w.Write(answer.Body) // the caller may be gone
 		return
 	}
 	w.WriteHeader(answer.Status)
 	_, err := io.Copy(w, answer.Stream)
-	_ = answer.Stream.Close()
+	_ = answer.Stream.Close() // an unread rest is not wanted
 	if err != nil {
-		g.count(stage, "cut")
+		g.count(stage, "cut", g.since(c))
 		panic(http.ErrAbortHandler)
 	}
+	g.count(stage, "answered", g.since(c))
 }
+
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -16,18 +16,20 @@
 // and from what backend servers answer.
 const (
 	headerPrefix   = "Catkinrun-"
-	EnvelopeHeader = "Catkinrun-Envelope"  // daemon to daemon
-	RequestHeader  = "Catkinrun-Request"   // daemon to daemon, and to the caller
-	HandleHeader   = "Catkinrun-Call"      // daemon to backend server and back
-	TimeoutHeader  = "Catkinrun-Timeout"   // milliseconds left, to the backend server
-	OutcomeHeader  = "Catkinrun-Outcome"   // on refusals
-	ReasonHeader   = "Catkinrun-Reason"    // on refusals
-	levelHeader    = "Catkinrun-Level"     // daemon to daemon
-	loadHeader     = "Catkinrun-Load"      // daemon to daemon, in thousandths of the slots
-	unspentHeader  = "Catkinrun-Allowance" // daemon to daemon
+	EnvelopeHeader = "Catkinrun-Envelope" // daemon to daemon
+	RequestHeader  = "Catkinrun-Request"  // daemon to daemon
+	OutcomeHeader  = "Catkinrun-Outcome"  // on refusals
+	ReasonHeader   = "Catkinrun-Reason"   // on refusals
+	loadHeader     = "Catkinrun-Load"     // daemon to daemon, in thousandths of the slots
+	versionHeader  = "Catkinrun-Version"  // daemon to daemon
+	reachedHeader  = "Catkinrun-Reached"  // daemon to daemon, on refusals
+	failedHeader   = "Catkinrun-Failed"   // daemon to daemon
 	loadScale      = 1000
 )
 
+// retryAfter is the wait told to a caller for a cause that passes soon.
+const retryAfter = 500 * time.Millisecond
+
 // hopHeaders belong to one connection and are never passed on.
 var hopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -36,13 +38,13 @@
 
 // DropHopHeaders removes the headers that belong to one connection.
 func DropHopHeaders(h http.Header) {
-	for _, line := range h.Values("Connection") {
+	for _, line := range h["Connection"] {
 		for _, name := range strings.Split(line, ",") {
 			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		h.Del(name)
+		delete(h, name)
 	}
 }
 
@@ -84,24 +86,33 @@
 }
 
 // writeRefusal ends a request without an answer of a backend server.
-func writeRefusal(w http.ResponseWriter, r *catkinrun.Refusal, request string, jitter func() float64) {
+func writeRefusal(w http.ResponseWriter, r *catkinrun.Refusal, request string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(OutcomeHeader, string(r.Outcome))
 	h.Set(ReasonHeader, string(r.Reason))
+	body, err := json.Marshal(problem{
+		Type: "about:blank", Title: http.StatusText(r.Status), Status: r.Status,
+		Detail: r.Detail, Reason: r.Reason, Outcome: r.Outcome, Request: request,
+	})
+	if err != nil {
+		body = nil // the status and the headers say the same
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(body) // the caller may be gone
+}
+
+// writeRefusalReport adds what the entry daemon shall know of a refusal.
+func writeRefusalReport(h http.Header, r *catkinrun.Refusal, request string) {
 	h.Set(RequestHeader, request)
-	if r.Level > 0 {
-		h.Set(levelHeader, strconv.Itoa(r.Level))
+	h.Set(loadHeader, strconv.Itoa(int(r.Load*loadScale)))
+	if r.Reached {
+		h.Set(reachedHeader, "1")
 	}
 	if r.RetryAfter > 0 {
-		spread := float64(r.RetryAfter) * (1 + jitter())
-		h.Set("Retry-After", strconv.Itoa(int(time.Duration(spread).Seconds()+1)))
+		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	w.WriteHeader(r.Status)
-	_ = json.NewEncoder(w).Encode(problem{
-		Type: "about:blank", Title: http.StatusText(r.Status), Status: r.Status,
-		Detail: r.Detail, Reason: r.Reason, Outcome: r.Outcome, Request: request,
-	})
 }
 
 // readRefusal reads a refusal of another daemon. Only daemons send the outcome
@@ -118,26 +129,29 @@
 	_ = json.Unmarshal(a.Body, &p) // the detail is for people only
 	refusal := &catkinrun.Refusal{
 		Status: a.Status, Reason: catkinrun.Reason(a.Header.Get(ReasonHeader)), Outcome: outcome, Detail: p.Detail,
-		Level: min(number(a.Header, levelHeader), catkinrun.MaxRank),
+		Load: float64(number(a.Header, loadHeader)) / loadScale, Reached: a.Header.Get(reachedHeader) != "",
+		Version: catkinrun.Version(number(a.Header, versionHeader)),
 	}
-	if a.Header.Get("Retry-After") != "" {
-		refusal.RetryAfter = time.Second
+	if seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		refusal.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	return refusal, true
 }
 
 // writeReport adds what the entry daemon shall know of the answer.
-func writeReport(h http.Header, a *catkinrun.Answer) {
-	h.Set(levelHeader, strconv.Itoa(a.Level))
+func writeReport(h http.Header, a *catkinrun.Answer, request string) {
+	h.Set(RequestHeader, request)
 	h.Set(loadHeader, strconv.Itoa(int(a.Load*loadScale)))
-	h.Set(unspentHeader, strconv.Itoa(a.Unspent))
+	if a.Failed {
+		h.Set(failedHeader, "1")
+	}
 }
 
 // readReport takes it out again.
 func readReport(a *catkinrun.Answer) {
-	a.Level = min(number(a.Header, levelHeader), catkinrun.MaxRank)
 	a.Load = float64(number(a.Header, loadHeader)) / loadScale
-	a.Unspent = min(number(a.Header, unspentHeader), catkinrun.MaxAllowance)
+	a.Version = catkinrun.Version(number(a.Header, versionHeader))
+	a.Failed = a.Header.Get(failedHeader) != ""
 	dropOwnHeaders(a.Header)
 }
 
@@ -149,3 +163,11 @@
 	}
 	return max(0, n)
 }
+
+// objectiveOf returns the latency wanted of a route, its timeout if none is declared.
+func objectiveOf(r *catkinrun.Route) time.Duration {
+	if r.Objective > 0 {
+		return time.Duration(r.Objective)
+	}
+	return time.Duration(r.Timeout)
+}
--- a/filterer/retry.go
+++ b/filterer/retry.go
@@ -2,81 +2,96 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/journaler"
 	"github.com/catkinrun/catkinrun/retrier"
 )
 
 type retry struct {
-	budget *retrier.Budget
-	clock  catkinrun.Clock
-	log    logrus.FieldLogger
+	budget  *retrier.Budget
+	journal *journaler.Journal
+	clock   catkinrun.Clock
 }
 
 func newRetry(p *Parts) catkinrun.Filter {
-	return &retry{budget: p.Budget, clock: p.Clock, log: p.Log}
+	return &retry{budget: p.Budget, journal: p.Journal, clock: p.Clock}
 }
 
-const (
-	// retryWait is the wait before an attempt is repeated.
-	retryWait = 5 * time.Millisecond
-	// ownerWait is the wait before a request looks for its idempotency key's owner
-	// again, while ownership moves.
-	ownerWait = 50 * time.Millisecond
-	// ownerTries bounds these looks.
-	ownerTries = 60
-)
-
-// Process repeats an attempt as long as that can run nothing twice, and within the
-// allowance of the call tree and the budget of the service. Looking for an owner
-// reaches no server, so it costs neither.
+// Process offers the request to another host after a refusal that allows it.
 func (f *retry) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
-	f.budget.Deposit(c.Service)
-	looks := 0
+	f.budget.Deposit(c.Envelope.Service)
+	reached := 0
 	for {
 		err := next(ctx, c)
-		var refusal *catkinrun.Refusal
-		if err == nil || !errors.As(err, &refusal) {
-			return err
+		refusal := refusalOf(err)
+		if refusal == nil {
+			if !f.repeatFailure(ctx, c, reached+1) {
+				return err
+			}
+			reached++
+			continue
 		}
-		wait := retryWait
-		if moving(c, refusal) && looks < ownerTries {
-			looks++
-			wait = ownerWait
-		} else if !f.again(c, refusal) {
-			return err
+		if refusal.Reached {
+			reached++
 		}
-		f.log.WithFields(logrus.Fields{
-			"request": c.Envelope.Request, "host": c.Target, "reason": refusal.Reason, "allowance": c.Envelope.Allowance,
-		}).Debug("retry: attempt repeated")
-		if f.clock.Wait(ctx, wait) != nil {
+		if !f.again(ctx, c, refusal, reached) {
 			return err
 		}
 	}
 }
 
-// moving reports whether the key's owner is about to change or was not reached at all.
-func moving(c *catkinrun.Call, r *catkinrun.Refusal) bool {
-	if !deduplicated(c.Envelope) || r.Outcome != catkinrun.NotRun || c.Stream != nil {
+// repeatFailure reports whether an answer by which the server says that it failed is
+// dropped for another attempt.
+func (f *retry) repeatFailure(ctx context.Context, c *catkinrun.Call, reached int) bool {
+	if c.Answer == nil || !c.Answer.Failed || c.Answer.Stream != nil {
 		return false
 	}
-	switch r.Reason {
-	case catkinrun.ReasonNotOwner, catkinrun.ReasonUnreachable, catkinrun.ReasonLeaving, catkinrun.ReasonNoServer:
-		return true
+	failed := &catkinrun.Refusal{Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown, Reached: true, Detail: "the server failed"}
+	if !f.again(ctx, c, failed, reached) {
+		return false
 	}
-	return false
+	c.Answer = nil
+	return true
 }
 
-// again spends what a repeated attempt costs, or reports false.
-func (f *retry) again(c *catkinrun.Call, r *catkinrun.Refusal) bool {
-	if !retrier.Allowed(c, r) || !f.budget.Spend(c.Service) {
+// again decides on one more attempt and spends what it costs.
+func (f *retry) again(ctx context.Context, c *catkinrun.Call, r *catkinrun.Refusal, reached int) bool {
+	allowed, counted := retrier.Repeatable(c, r, reached)
+	if !allowed || ctx.Err() != nil || !c.Deadline.After(f.clock.Now()) {
+		return false
+	}
+	if counted && !f.budget.Spend(c.Envelope.Service) {
 		return false
 	}
-	c.Envelope.Allowance--
-	c.Tried = append(c.Tried, c.Target)
+	f.journal.Failed(logrus.Fields{
+		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "host": c.Host,
+		"reason": r.Reason, "outcome": r.Outcome, "detail": r.Detail, "reached": reached, "counted": counted,
+	}, "retry: request goes to another host")
+	c.Tried = append(c.Tried, c.Host)
+	c.Envelope.Attempt++
 	return true
 }
+
+// refusalOf returns the refusal in an error, nil if there is no error.
+func refusalOf(err error) *catkinrun.Refusal {
+	if err == nil {
+		return nil
+	}
+	return asRefusal(err)
+}
+
+// asRefusal finds the refusal in an error. An error of another type leaves open
+// whether the request ran.
+func asRefusal(err error) *catkinrun.Refusal {
+	var refusal *catkinrun.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &catkinrun.Refusal{
+		Status: 500, Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown, Reached: true, Detail: "internal error: " + err.Error(),
+	}
+}
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -3,74 +3,69 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/deduplicator"
-	"github.com/catkinrun/catkinrun/replicator"
+	"github.com/catkinrun/catkinrun/journaler"
 	"github.com/catkinrun/catkinrun/router"
 )
 
 type route struct {
-	replica *replicator.Replica
 	router  *router.Router
+	journal *journaler.Journal
+	clock   catkinrun.Clock
 }
 
-func newRoute(p *Parts) catkinrun.Filter { return &route{replica: p.Replica, router: p.Router} }
+func newRoute(p *Parts) catkinrun.Filter {
+	return &route{router: p.Router, journal: p.Journal, clock: p.Clock}
+}
+
+// unknownLoad says that no load was reported.
+const unknownLoad = -1
 
-// Process chooses the host: for a request with an idempotency key the owner of the
-// key, so that record and run cannot be parted; else by load.
+// Process chooses the host and notes how the attempt there ended.
 func (f *route) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
-	host, ok := f.choose(c)
+	choice, ok := f.router.Choose(c.Envelope.Service, c.Tried)
 	if !ok {
-		return refuseLater(catkinrun.ReasonNoServer, "no backend server of "+c.Service+" is ready")
+		return refuseLater(catkinrun.ReasonNoServer, "no backend server of "+c.Envelope.Service+" is ready")
 	}
-	c.Target = host
-	f.router.Started(host)
+	c.Host, c.Peer = choice.Member.Host, choice.Member.Peer
+	f.router.Started(c.Host)
+	startedAt := f.clock.Now()
 	err := next(ctx, c)
+	fields := logrus.Fields{
+		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "team": c.Envelope.Team,
+		"host": c.Host, "score": choice.Score, "among": choice.Among, "attempt": c.Envelope.Attempt,
+		"version": c.Envelope.Version, "took-ms": f.clock.Now().Sub(startedAt).Milliseconds(),
+	}
 	if err != nil {
-		f.failed(host, err)
+		refusal := asRefusal(err)
+		f.router.Ended(c.Host, resultOf(refusal), refusal.Load)
+		fields["reason"], fields["outcome"], fields["detail"], fields["load"] = refusal.Reason, refusal.Outcome, refusal.Detail, refusal.Load
+		f.journal.Failed(fields, "route: attempt failed")
 		return err
 	}
-	f.router.Ended(host, false, c.Answer.Load)
-	return nil
-}
-
-func (f *route) choose(c *catkinrun.Call) (string, bool) {
-	if !deduplicated(c.Envelope) {
-		return f.router.Pick(c.Service, c.Tried)
+	result := router.Served
+	if c.Answer.Failed {
+		result = router.Failed
 	}
-	holders := deduplicator.Holders(c.Envelope.DedupeKey, f.replica.Snapshot().View(c.Service).Hosts)
-	if len(holders) == 0 {
-		return "", false
-	}
-	return holders[0], true
+	f.router.Ended(c.Host, result, c.Answer.Load)
+	fields["status"], fields["load"] = c.Answer.Status, c.Answer.Load
+	f.journal.Served(fields, "route: attempt answered")
+	return nil
 }
 
-// deduplicated reports whether a request runs at its key's owner.
-func deduplicated(e catkinrun.Envelope) bool { return e.DedupeKey != "" && !e.Idempotent }
-
-// failed counts a failure against the host if the host caused it.
-func (f *route) failed(host string, err error) {
-	var refusal *catkinrun.Refusal
-	fault := false
-	load := float64(unknownLoad)
-	if errors.As(err, &refusal) {
-		switch refusal.Reason {
-		case catkinrun.ReasonUnreachable, catkinrun.ReasonBroken:
-			fault = true
-		case catkinrun.ReasonOverload:
-			load = fullLoad
-		case catkinrun.ReasonLeaving, catkinrun.ReasonNoServer:
-			f.router.Left(host)
-		}
+// resultOf tells what a refusal says of the host.
+func resultOf(r *catkinrun.Refusal) router.Result {
+	switch r.Reason {
+	case catkinrun.ReasonUnreachable:
+		return router.Unreachable
+	case catkinrun.ReasonBroken, catkinrun.ReasonRejected:
+		return router.Failed
+	case catkinrun.ReasonOverload:
+		return router.Full
+	case catkinrun.ReasonLeaving, catkinrun.ReasonNoServer:
+		return router.Leaving
 	}
-	f.router.Ended(host, fault, load)
+	return router.Ended
 }
-
-const (
-	// unknownLoad says that no load was reported.
-	unknownLoad = -1
-	// fullLoad is the load of a server that sheds: its slots and its queue are full.
-	fullLoad = 2
-)
--- a/filterer/send.go
+++ b/filterer/send.go
@@ -6,74 +6,56 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/exchanger"
-	"github.com/catkinrun/catkinrun/messenger"
-	"github.com/catkinrun/catkinrun/router"
 )
 
-// CallPath prefixes the path of a call on a peer listener.
-const CallPath = "/call"
-
 type send struct {
-	parts  *Parts
-	router *router.Router
-	self   string
+	parts *Parts
 }
 
-func newSend(p *Parts) catkinrun.Filter {
-	return &send{parts: p, router: p.Router, self: p.Replica.Identity().Host}
-}
+func newSend(p *Parts) catkinrun.Filter { return &send{parts: p} }
 
 // Process hands the call to the chosen host's daemon. Next is the peer chain of
 // this daemon, which takes the calls for the server beside it.
 func (f *send) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
-	if deadline, ok := ctx.Deadline(); ok {
-		c.Envelope = c.Envelope.WithTimeLeft(deadline.Sub(f.parts.Clock.Now()))
-	}
+	now := f.parts.Clock.Now()
+	c.Envelope.TimeLeft = c.Deadline.Sub(now)
+	c.Envelope.Objective = c.StartedAt.Add(objectiveOf(c.Route)).Sub(now)
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
-	if c.Target == f.self {
+	if c.Host == f.parts.Self.Host {
 		return next(ctx, c)
 	}
-	address, ok := f.router.Address(c.Target)
-	if !ok {
-		return refuseLater(catkinrun.ReasonNoServer, "the host has left")
-	}
-	request := exchanger.Request(ctx, c, f.parts.Scheme, address, CallPath)
+	request := exchanger.Request(ctx, c, c.Peer)
 	sealed, err := sealEnvelope(c.Envelope)
 	if err != nil {
 		return err
 	}
 	request.Header.Set(EnvelopeHeader, sealed)
-	request.Header.Set(messenger.FleetKeyHeader, f.parts.FleetKey)
-	answer, err := f.parts.Peers.Do(request)
+	exchange, err := f.parts.Peers.Do(request)
 	if err != nil {
 		return err
 	}
-	return f.open(c, answer)
+	return f.open(c, exchange)
 }
 
 // open reads what the other daemon said of its answer. An answer that is not to
 // this request is discarded; it says nothing about the run.
-func (f *send) open(c *catkinrun.Call, answer *catkinrun.Answer) error {
+func (f *send) open(c *catkinrun.Call, exchange *exchanger.Exchange) error {
+	answer := exchange.Answer
 	if answer.Header.Get(RequestHeader) != c.Envelope.Request {
-		closeAnswer(answer)
+		exchange.Discard()
 		return &catkinrun.Refusal{
-			Status: http.StatusBadGateway, Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown,
-			Detail: "the answer belongs to another request",
+			Status: http.StatusBadGateway, Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown, Reached: true,
+			Detail: "the other daemon's answer belongs to another request",
 		}
 	}
-	if refusal, ok := readRefusal(answer); ok {
-		closeAnswer(answer)
+	refusal, refused := readRefusal(answer)
+	readReport(answer)
+	f.parts.Syncer.Saw(c.Peer, answer.Version)
+	if refused {
 		return refusal
 	}
-	readReport(answer)
 	c.Answer = answer
 	return nil
 }
-
-func closeAnswer(a *catkinrun.Answer) {
-	if a.Stream != nil {
-		_ = a.Stream.Close()
-	}
-}
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -8,114 +8,64 @@
 	"github.com/catkinrun/catkinrun/broker"
 )
 
-// bucket holds one team's share at this daemon.
+// bucket holds one team's tokens at this daemon.
 type bucket struct {
-	share    broker.Share
-	epoch    catkinrun.Version
-	term     uint64    // of currency, in which the share was granted
-	voidAt   time.Time // end of grace once the epoch has ended; zero while it lasts
-	tokens   float64
+	tokens   float64 // of the even part
 	filledAt time.Time
+	dealt    float64 // by the owner
+	goodTill time.Time
+	epoch    catkinrun.Revision // under which dealt tokens came
 
-	sequence   uint64        // of the last Ask sent; answers to earlier ones are void
-	askedAt    time.Time     // when it was sent
-	spacing    time.Duration // least time until the next one for lack of tokens
-	lacking    bool          // an Ask for lack of tokens is due
-	granted    bool          // a broker has answered in this epoch
-	arrivals   float64       // since the last Ask
+	arrivals   float64 // since the last Ask
 	measuredAt time.Time
 	demand     float64 // smoothed requests per second
 	waiting    int     // requests that wait for a token
 	usedAt     time.Time
 }
 
-// fill adds the tokens earned since the last reading.
-func (b *bucket) fill(now time.Time) {
-	earned := b.share.Rate * now.Sub(b.filledAt).Seconds()
-	b.tokens = min(b.tokens+earned, b.share.Burst)
-	b.filledAt = now
-}
-
-// set replaces the share: what the old one earned is kept up to the new burst.
-func (b *bucket) set(now time.Time, share broker.Share, tokens float64) {
-	b.fill(now)
-	b.share = share
-	b.tokens = min(b.tokens+tokens, share.Burst)
+func newBucket(now time.Time) *bucket {
+	return &bucket{filledAt: now, measuredAt: now, usedAt: now}
 }
 
-// drop gives the share up.
-func (b *bucket) drop() {
-	b.share = broker.Share{}
-	b.tokens = 0
-	b.granted = false
+// fill adds what the even part has earned.
+func (b *bucket) fill(now time.Time, rate, depth float64) {
+	b.tokens = min(b.tokens+rate*now.Sub(b.filledAt).Seconds(), depth)
+	b.filledAt = now
 }
 
-// useUp gives up tokens that came without a rate and that no request waits for, and
-// returns their number.
-func (b *bucket) useUp() float64 {
-	unused := 0.0
-	if b.waiting == 0 {
-		unused = b.tokens
-		b.tokens = 0
+// take spends one token: a dealt one while it is good, else one of the even part,
+// which may go below zero by ahead.
+func (b *bucket) take(now time.Time, ahead float64) bool {
+	if b.dealt >= 1 && now.Before(b.goodTill) {
+		b.dealt--
+		return true
 	}
-	b.share.Burst = b.tokens
-	return unused
-}
-
-// space sets the pace of Asks for lack of tokens by what the last one brought.
-func (b *bucket) space(grant broker.Grant, longest time.Duration) {
-	b.spacing = min(max(2*b.spacing, shortestSpacing), longest)
-	if grant.Tokens >= 1 || grant.Share.Rate > b.share.Rate {
-		b.spacing = shortestSpacing
+	if b.tokens >= 1-ahead {
+		b.tokens--
+		return true
 	}
+	return false
 }
 
-// reservePart is the part of a bucket that is kept for higher priorities, so that a
-// team's own lesser requests don't use up what its important ones need.
-var reservePart = [catkinrun.PriorityCount]float64{0.3, 0.15, 0}
-
-// take spends one token; otherwise it returns the wait until there is one.
-func (b *bucket) take(now time.Time, p catkinrun.Priority) (wait time.Duration, ok bool) {
-	b.fill(now)
-	need := 1.0
-	if b.share.Rate > 0 {
-		need += max(0, min(reservePart[p]*b.share.Burst, b.share.Burst-1))
-	}
-	if b.tokens >= need {
-		b.tokens--
-		return 0, true
-	}
-	if b.share.Rate <= 0 {
-		return unknownWait, false
-	}
-	return time.Duration((need - b.tokens) / b.share.Rate * float64(time.Second)), false
+// deal adds tokens of the owner.
+func (b *bucket) deal(tokens float64, epoch catkinrun.Revision, goodTill time.Time) {
+	b.dealt += tokens
+	b.epoch = epoch
+	b.goodTill = goodTill
 }
 
-// measure notes the demand since the last reading. The more requests came, or should
-// have come, the more the reading counts: a busy team's demand moves at once, and a
-// quiet one's is not taken for nil between two requests.
-func (b *bucket) measure(now time.Time) {
-	elapsed := now.Sub(b.measuredAt)
-	if elapsed < shortestMeasure {
-		return
+// want makes a team's line of an Ask: what is held goes back, so that what has aged
+// here is dealt anew, and all that is expected until the next answer is asked for.
+func (b *bucket) want(name string, epoch catkinrun.Revision, now time.Time) broker.Want {
+	if elapsed := now.Sub(b.measuredAt); elapsed > 0 {
+		weight := 1 - math.Exp(-elapsed.Seconds()/demandMemory.Seconds())
+		b.demand += weight * (b.arrivals/elapsed.Seconds() - b.demand)
+		b.arrivals, b.measuredAt = 0, now
 	}
-	rate := b.arrivals / elapsed.Seconds()
-	evidence := max(b.arrivals, b.demand*elapsed.Seconds())
-	kept := math.Exp(-evidence / demandMemory)
-	b.demand = max(kept*b.demand+(1-kept)*rate, demandFloor)
-	b.arrivals = 0
-	b.measuredAt = now
-	if now.Sub(b.usedAt) > idleTime {
-		b.demand = 0
+	returned := b.dealt
+	if b.epoch != epoch {
+		returned = 0 // the owner that dealt them counts no more
 	}
+	b.dealt = 0
+	return broker.Want{Team: name, Returned: returned, Tokens: b.demand*ahead.Seconds() + float64(b.waiting) + 1}
 }
-
-const (
-	demandMemory    = 4.0             // requests that a reading of the demand rests on
-	firstDemand     = 1.0             // requests per second of a team whose traffic begins
-	demandFloor     = 0.05            // requests per second of a team that is not idle
-	idleTime        = 3 * time.Second // after which a share is given up
-	unknownWait     = time.Second     // wait told when no share is known
-	shortestMeasure = 100 * time.Millisecond
-	shortestSpacing = 10 * time.Millisecond
-)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,12 +1,10 @@
-// Package limiter holds this daemon's shares of the teams' rates, and asks the
-// teams' brokers for them.
+// Package limiter holds the teams to their rates at this daemon.
 //
-//	request -> Take -> bucket filled at the share's rate
-//	every interval: demands and shares held -> broker -> shares granted
+//	request -> Take -> even part of the rate, and tokens that the owner dealt
+//	every interval, and at once for a team that lacks tokens: Ask -> owner -> tokens
 //
-// A share lasts while the daemon is current, is on the roster, and knows of no
-// newer epoch of the team's owner. While the store is away nobody can become
-// owner, so shares hold over.
+// Tokens that the owner dealt are good for a short time, counted from the sending of
+// the Ask; those that no request used go back with the next Ask.
 package limiter
 
 import (
@@ -15,241 +13,199 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/broker"
-	"github.com/catkinrun/catkinrun/replicator"
 )
 
-// Sharer sends an Ask to the broker at a host.
-type Sharer interface {
-	Share(ctx context.Context, host string, ask *broker.Ask) (*broker.Answer, error)
+const (
+	// askEvery is the time between Asks; demand that moves is followed within a second.
+	askEvery = 150 * time.Millisecond
+	// tokenLife is how long dealt tokens are good. With the bound's window of 5 s it
+	// stretches the dealt part of a rate by 8 %, inside the slack of 10 %.
+	tokenLife = 400 * time.Millisecond
+	// askTimeout bounds one Ask.
+	askTimeout = 300 * time.Millisecond
+	// lackingEvery is the least time between two Asks for lack of tokens.
+	lackingEvery = 10 * time.Millisecond
+	// ahead is the time whose expected requests an Ask covers.
+	ahead = 250 * time.Millisecond
+	// overdraft is what all hosts together may take before they have earned it, in
+	// requests, so that an even part smaller than one request is of use: below the
+	// bound's slack of 20.
+	overdraft = 8.0
+	// demandMemory is the time over which a team's demand is averaged: two Asks.
+	demandMemory = 300 * time.Millisecond
+	// idleTime is the time after which a team without requests is forgotten.
+	idleTime = 10 * time.Second
+)
+
+// Asker sends an Ask to the owner.
+type Asker interface {
+	Owner() broker.Owner
+	Ask(ctx context.Context, owner broker.Owner, ask *broker.Ask) (*broker.Answer, error)
+	Answered(epoch catkinrun.Revision, ok bool)
 }
 
-// Limits are the limiter's times.
-type Limits struct {
-	Interval time.Duration // between Asks
-	Grace    time.Duration // life of a share whose epoch has ended, unless confirmed
-	Wait     time.Duration // longest wait of a request for its token
+// Members counts the hosts among which the even part is divided.
+type Members interface {
+	Count() int
 }
 
-// Limiter lets requests through as far as the shares held allow.
+// Limiter lets requests through as far as the team's tokens here reach.
 type Limiter struct {
-	replica *replicator.Replica
-	sharer  Sharer
+	teams   broker.Teams
+	members Members
+	asker   Asker
 	clock   catkinrun.Clock
 	log     logrus.FieldLogger
-	limits  Limits
+	host    string
+	lacking chan struct{}
 
-	mu       sync.Mutex
-	sequence uint64
-	buckets  map[string]*bucket
-	wake     chan struct{}
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	dealt   chan struct{} // closed when an Answer has come
 }
 
-// New returns a limiter that holds no share yet.
-func New(replica *replicator.Replica, sharer Sharer, clock catkinrun.Clock, log logrus.FieldLogger, limits Limits) *Limiter {
+// New returns a limiter for the daemon of a host.
+func New(teams broker.Teams, members Members, asker Asker, clock catkinrun.Clock, log logrus.FieldLogger, host string) *Limiter {
 	return &Limiter{
-		replica: replica, sharer: sharer, clock: clock, log: log, limits: limits,
-		buckets: make(map[string]*bucket),
-		wake:    make(chan struct{}, 1),
+		teams: teams, members: members, asker: asker, clock: clock, log: log, host: host,
+		lacking: make(chan struct{}, 1), buckets: make(map[string]*bucket), dealt: make(chan struct{}),
 	}
 }
 
-// Take lets one request of a team through, after a short wait if need be. It
-// fails with *catkinrun.Refusal.
-func (l *Limiter) Take(ctx context.Context, team string, p catkinrun.Priority) error {
-	l.Arrive(team)
-	wait, err := l.TryTake(team, p)
-	if err == nil || !l.queue(team) {
-		return err
-	}
-	defer l.unqueue(team)
-	deadline := l.clock.Now().Add(l.limits.Wait)
+// Take lets one request of a team through, after a wait of at most patience. It fails
+// with *catkinrun.Refusal.
+func (l *Limiter) Take(ctx context.Context, name string, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	l.arrive(name)
 	for {
-		left := deadline.Sub(l.clock.Now())
-		if left <= 0 || l.clock.Wait(ctx, min(max(wait, shortestWait), left, waitStep)) != nil {
-			return err
-		}
-		if wait, err = l.TryTake(team, p); err == nil {
+		wait, dealt, ok := l.tryTake(name)
+		if ok {
 			return nil
 		}
+		select {
+		case l.lacking <- struct{}{}:
+		default:
+		}
+		select {
+		case <-dealt:
+		case <-ctx.Done():
+			return l.refuse(name, wait)
+		}
 	}
 }
 
-// queue adds a request to those that wait for a token, unless these use up all that
-// the share earns in the time of a wait.
-func (l *Limiter) queue(team string) bool {
+func (l *Limiter) refuse(name string, wait time.Duration) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b, ok := l.buckets[team]
-	if !ok {
-		return false
+	if b, ok := l.buckets[name]; ok {
+		b.waiting = max(0, b.waiting-1)
 	}
-	room := unknownQueue
-	if b.granted && b.share.Rate > 0 {
-		room = int(b.share.Rate*l.limits.Wait.Seconds()) + 1
-	}
-	if b.waiting >= room {
-		return false
-	}
-	b.waiting++
-	return true
-}
-
-func (l *Limiter) unqueue(team string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b, ok := l.buckets[team]; ok {
-		b.waiting--
+	return &catkinrun.Refusal{
+		Status: 429, Reason: catkinrun.ReasonRate, Outcome: catkinrun.NotRun, RetryAfter: wait, Detail: "the team is above its rate",
 	}
 }
 
-// unknownQueue is the number of requests that may wait for a team's first share.
-const unknownQueue = 200
-
-// shortestWait makes sure that a wait ends with some progress.
-const shortestWait = time.Millisecond
-
-// waitStep bounds a wait, since a new share may arrive meanwhile.
-const waitStep = 20 * time.Millisecond
-
-// Arrive counts a request of a team as demand.
-func (l *Limiter) Arrive(team string) {
+func (l *Limiter) arrive(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b, ok := l.buckets[team]
+	b, ok := l.buckets[name]
 	if !ok {
-		b = &bucket{filledAt: l.clock.Now(), measuredAt: l.clock.Now().Add(-shortestMeasure), demand: firstDemand}
-		l.buckets[team] = b
+		b = newBucket(l.clock.Now())
+		l.buckets[name] = b
 	}
 	b.arrivals++
+	b.waiting++
 	b.usedAt = l.clock.Now()
-	if !b.granted {
-		l.wakeLocked(b)
-	}
-}
-
-// wakeLocked asks for a team soon. A team whose brokers had nothing more to give is
-// asked for less and less often.
-func (l *Limiter) wakeLocked(b *bucket) {
-	if l.clock.Now().Sub(b.askedAt) < b.spacing {
-		return
-	}
-	b.lacking = true
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
 }
 
-// TryTake lets one request through or returns the wait until it may try again.
-func (l *Limiter) TryTake(team string, p catkinrun.Priority) (time.Duration, error) {
-	snapshot, _ := l.replica.Current()
-	term, current := l.replica.Term()
-	if !current {
-		return unknownWait, refuse(catkinrun.ReasonStale, "this host has no current proof of its configuration", unknownWait)
-	}
-	declared, ok := snapshot.Get(catkinrun.KindTeam, team)
-	if !ok {
-		return unknownWait, refuse(catkinrun.ReasonRate, "the team is not declared", unknownWait)
-	}
+// tryTake takes a token. Otherwise it returns the wait until the even part has earned
+// one, and a channel that is closed when the owner has dealt again.
+func (l *Limiter) tryTake(name string) (wait time.Duration, dealt <-chan struct{}, ok bool) {
+	team, declared := l.teams.Snapshot().Team(name)
+	count := float64(l.members.Count())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b, ok := l.buckets[team]
-	if !ok {
-		return unknownWait, refuse(catkinrun.ReasonRate, "no share of the team's rate is here yet", unknownWait)
+	b := l.buckets[name]
+	if !declared || b == nil {
+		return time.Second, l.dealt, false
 	}
-	l.checkLocked(team, b, snapshot, term)
-	b.share.Rate = min(b.share.Rate, declared.Team.Rate)
-	b.share.Burst = min(b.share.Burst, declared.Team.Burst)
-	wait, ok := b.take(l.clock.Now(), p)
-	if !ok {
-		l.wakeLocked(b)
-		return wait, refuse(catkinrun.ReasonRate, "the team is above its rate", wait)
-	}
-	return 0, nil
-}
-
-// checkLocked drops a share that has become void.
-func (l *Limiter) checkLocked(team string, b *bucket, s *catkinrun.Snapshot, term uint64) {
 	now := l.clock.Now()
-	owner := s.Owner(team)
-	if b.epoch != owner.Since && b.voidAt.IsZero() {
-		b.voidAt = now.Add(l.limits.Grace)
-	}
-	host, member := s.Host(l.replica.Identity().Host)
-	off := !member || host.Incarnation != l.replica.Identity().Incarnation
-	over := !b.voidAt.IsZero() && !now.Before(b.voidAt)
-	if off || over || b.term != term {
-		b.drop()
-		b.epoch = owner.Since
-		b.voidAt = time.Time{}
-		b.term = term
+	even := 0.0
+	if count > 0 {
+		even = (1 - broker.DealtPart) / count
 	}
-}
-
-func refuse(reason catkinrun.Reason, detail string, wait time.Duration) error {
-	status := 429
-	if reason == catkinrun.ReasonStale {
-		status = 503
+	b.fill(now, even*team.Rate, even*team.Burst)
+	if team.Rate > 0 && !b.take(now, min(1, overdraft/max(1, count))) {
+		return time.Duration(float64(time.Second) / max(team.Rate, 1)), l.dealt, false
 	}
-	return &catkinrun.Refusal{Status: status, Reason: reason, Outcome: catkinrun.NotRun, RetryAfter: wait, Detail: detail}
+	b.waiting = max(0, b.waiting-1)
+	return 0, nil, true
 }
 
-// Serve asks the brokers until ctx ends. It implements suture.Service.
+// Serve asks the owner until ctx ends. It implements suture.Service.
 func (l *Limiter) Serve(ctx context.Context) error {
 	for {
 		l.Round(ctx)
-		if err := l.pause(ctx); err != nil {
-			return err
-		}
-	}
-}
-
-// wakeStep is the time between two looks for teams that lack tokens.
-const wakeStep = 5 * time.Millisecond
-
-// pause waits for the next round, and asks meanwhile for the teams that lack tokens.
-func (l *Limiter) pause(ctx context.Context) error {
-	until := l.clock.Now().Add(l.limits.Interval)
-	for l.clock.Now().Before(until) {
-		if err := l.clock.Wait(ctx, wakeStep); err != nil {
+		if err := l.clock.Wait(ctx, lackingEvery); err != nil {
 			return err
 		}
+		waiting, cancel := context.WithTimeout(ctx, askEvery-lackingEvery)
 		select {
-		case <-l.wake:
-			l.send(ctx, l.asks(func(b *bucket) bool { return b.lacking }))
-		default:
+		case <-l.lacking:
+		case <-waiting.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
-	return nil
 }
 
-// Round asks each broker once for all teams in use here.
+// Round sends one Ask. It is sent without wants too, since it counts for the owner's
+// authority.
 func (l *Limiter) Round(ctx context.Context) {
-	l.send(ctx, l.asks(func(*bucket) bool { return true }))
+	owner := l.asker.Owner()
+	if owner.Epoch == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	sentAt := l.clock.Now()
+	answer, err := l.asker.Ask(ctx, owner, l.ask(owner, sentAt))
+	l.asker.Answered(owner.Epoch, err == nil)
+	if err != nil {
+		l.log.WithError(err).WithField("owner", owner.Host).Debug("limiter: owner does not answer")
+		return
+	}
+	l.accept(answer, sentAt)
 }
 
-func (l *Limiter) send(ctx context.Context, messages map[string]*broker.Ask) {
-	var asks errgroup.Group
-	for host, ask := range messages {
-		asks.Go(func() error {
-			l.ask(ctx, host, ask)
-			return nil
-		})
+func (l *Limiter) ask(owner broker.Owner, now time.Time) *broker.Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ask := &broker.Ask{Host: l.host, Epoch: owner.Epoch}
+	for name, b := range l.buckets {
+		if now.Sub(b.usedAt) > idleTime {
+			delete(l.buckets, name)
+			continue
+		}
+		ask.Wants = append(ask.Wants, b.want(name, owner.Epoch, now))
 	}
-	_ = asks.Wait()
+	return ask
 }
 
-// Shares returns the shares held here, by team.
-func (l *Limiter) Shares() map[string]broker.Share {
+func (l *Limiter) accept(answer *broker.Answer, sentAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	shares := make(map[string]broker.Share, len(l.buckets))
-	for team, b := range l.buckets {
-		shares[team] = b.share
+	for _, grant := range answer.Grants {
+		if b, ok := l.buckets[grant.Team]; ok {
+			b.deal(grant.Tokens, answer.Epoch, sentAt.Add(tokenLife))
+		}
 	}
-	return shares
+	close(l.dealt)
+	l.dealt = make(chan struct{})
 }
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"gopkg.in/yaml.v3"
 
 	"github.com/catkinrun/catkinrun"
@@ -16,82 +17,48 @@
 
 // Settings are what a daemon must know of itself and how to reach the platform.
 type Settings struct {
-	Host      string     `yaml:"host"`      // unique name of the host
-	Zone      string     `yaml:"zone"`      // availability zone
-	Platform  string     `yaml:"platform"`  // http URL of the platform's store
-	FleetKey  string     `yaml:"fleet-key"` // shared by all daemons
-	Listen    Listen     `yaml:"listen"`
-	TLS       TLS        `yaml:"tls"`
-	Operators []Operator `yaml:"operators"`
-	Times     Times      `yaml:"times"`
-	Log       Log        `yaml:"log"`
+	Host    string `yaml:"host"`    // unique name of the host
+	Zone    string `yaml:"zone"`    // availability zone
+	Service string `yaml:"service"` // of the backend server on this host
+	Server  string `yaml:"server"`  // the backend server's address, IP and port
+	Store   string `yaml:"store"`   // address of the platform's store, IP and port
+	Listen  Listen `yaml:"listen"`
+	Times   Times  `yaml:"times"`
+	Retries int    `yaml:"retries"` // repeats per service and window, beyond the ratio, over all hosts
+	Memory  int    `yaml:"memory"`  // that the process may use, in MB
+	Log     Log    `yaml:"log"`
 }
 
 // Listen has the addresses, IP and port, of the daemon's listeners.
 type Listen struct {
-	Caller   string `yaml:"caller"`
-	Local    string `yaml:"local"`
-	Peer     string `yaml:"peer"`
-	Operator string `yaml:"operator"`
-}
-
-// TLS names the files of the listeners' certificates. Peers check each other
-// against CA; callers and operators are served with the same certificate.
-type TLS struct {
-	Certificate string `yaml:"certificate"`
-	Key         string `yaml:"key"`
-	CA          string `yaml:"ca"`
-}
-
-// Enabled reports whether TLS is set up.
-func (t TLS) Enabled() bool { return t != TLS{} }
-
-// Role is what an operator may do.
-type Role string
-
-// The roles.
-const (
-	Reader Role = "reader"
-	Editor Role = "editor"
-)
-
-// Operator is one operator's credential, kept as the SHA-256 of a token in hex.
-type Operator struct {
-	Name  string `yaml:"name"`
-	Role  Role   `yaml:"role"`
-	Token string `yaml:"token-sha256"`
+	Caller   string `yaml:"caller"`   // callers on this host
+	Peer     string `yaml:"peer"`     // other daemons
+	Announce string `yaml:"announce"` // the backend server's announcements
+	Ready    string `yaml:"ready"`    // the platform's question whether the daemon is ready
+	Operator string `yaml:"operator"` // metrics and the operators' reading commands
 }
 
 // Times are the daemon's periods and limits.
 type Times struct {
-	Pull      catkinrun.Duration `yaml:"pull"`      // between exchanges with parents
-	Proof     catkinrun.Duration `yaml:"proof"`     // age up to which a proof of currency counts
-	Silence   catkinrun.Duration `yaml:"silence"`   // after which a host is taken off the roster
-	Share     catkinrun.Duration `yaml:"share"`     // between exchanges with brokers
-	Retention catkinrun.Duration `yaml:"retention"` // of idempotency records
-	Drain     catkinrun.Duration `yaml:"drain"`     // between leaving and closing
-	Store     catkinrun.Duration `yaml:"store"`     // longest wait for the platform's store
+	Store catkinrun.Duration `yaml:"store"` // longest wait for the platform's store
+	Stop  catkinrun.Duration `yaml:"stop"`  // from the signal to stop until the process must have ended
 }
 
-// Log switches each part's debug lines on.
+// Log says how much is written.
 type Log struct {
-	Level string   `yaml:"level"` // info, debug, warn or error
-	Debug []string `yaml:"debug"` // parts whose debug lines are written
+	Level string `yaml:"level"` // info, debug, warn or error
 }
 
 // Defaults returns the settings that a file may leave out.
 func Defaults() Settings {
 	return Settings{
 		Times: Times{
-			Pull:      catkinrun.Duration(500 * time.Millisecond),
-			Proof:     catkinrun.Duration(4 * time.Second),
-			Silence:   catkinrun.Duration(6 * time.Second),
-			Share:     catkinrun.Duration(250 * time.Millisecond),
-			Retention: catkinrun.Duration(15 * time.Minute),
-			Drain:     catkinrun.Duration(3 * time.Second),
-			Store:     catkinrun.Duration(2 * time.Second),
+			Store: catkinrun.Duration(1500 * time.Millisecond),
+			Stop:  catkinrun.Duration(6 * time.Second),
 		},
-		Log: Log{Level: "info"},
+		Retries: 48,
+		Memory:  256,
+		Log:     Log{Level: "info"},
 	}
 }
 
@@ -130,8 +97,7 @@
 	named := []struct{ field, value string }{
 		{"host", s.Host},
 		{"zone", s.Zone},
-		{"platform", s.Platform},
-		{"fleet-key", s.FleetKey},
+		{"service", s.Service},
 	}
 	for _, n := range named {
 		if n.value == "" {
@@ -139,9 +105,12 @@
 		}
 	}
 	addresses := []struct{ field, value string }{
+		{"server", s.Server},
+		{"store", s.Store},
 		{"listen.caller", s.Listen.Caller},
-		{"listen.local", s.Listen.Local},
 		{"listen.peer", s.Listen.Peer},
+		{"listen.announce", s.Listen.Announce},
+		{"listen.ready", s.Listen.Ready},
 		{"listen.operator", s.Listen.Operator},
 	}
 	for _, a := range addresses {
@@ -149,49 +118,22 @@
 			return invalid(a.field, "expected IP:port, as in 10.0.0.7:7001")
 		}
 	}
-	if err := s.validateTimes(); err != nil {
-		return err
-	}
-	return s.validateOperators()
-}
-
-func (s Settings) validateTimes() error {
-	times := []struct {
-		field string
-		value catkinrun.Duration
-	}{
-		{"times.pull", s.Times.Pull},
-		{"times.proof", s.Times.Proof},
-		{"times.silence", s.Times.Silence},
-		{"times.share", s.Times.Share},
-		{"times.retention", s.Times.Retention},
-		{"times.drain", s.Times.Drain},
-		{"times.store", s.Times.Store},
-	}
-	for _, t := range times {
-		if t.value <= 0 {
-			return invalid(t.field, `expected a duration above 0, like "500ms"`)
-		}
-	}
-	if s.Times.Proof < 4*s.Times.Pull {
-		return invalid("times.proof", "expected at least four times times.pull")
-	}
-	if s.TLS.Enabled() && (s.TLS.Certificate == "" || s.TLS.Key == "" || s.TLS.CA == "") {
-		return invalid("tls", "expected certificate, key and ca, or none of them")
-	}
-	return nil
+	return s.validateLimits()
 }
 
-func (s Settings) validateOperators() error {
-	const hashLength = 64 // hex digits of SHA-256
-	for i, o := range s.Operators {
-		field := fmt.Sprintf("operators[%d]", i)
-		if o.Name == "" || len(o.Token) != hashLength {
-			return invalid(field, "expected name, role and token-sha256 (64 hex digits)")
-		}
-		if o.Role != Reader && o.Role != Editor {
-			return invalid(field+".role", "expected reader or editor")
-		}
+func (s Settings) validateLimits() error {
+	switch {
+	case s.Times.Store <= 0:
+		return invalid("times.store", `expected a duration above 0, like "500ms"`)
+	case time.Duration(s.Times.Stop) < time.Second:
+		return invalid("times.stop", `expected a duration of at least 1s, like "6s"`)
+	case s.Retries < 0:
+		return invalid("retries", "expected at least 0")
+	case s.Memory < 32:
+		return invalid("memory", "expected at least 32 MB")
+	}
+	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
+		return invalid("log.level", "expected debug, info, warn or error")
 	}
 	return nil
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -53,26 +53,17 @@
 
 // Client calls procedures of other daemons.
 type Client struct {
-	http     connect.HTTPClient
-	scheme   string
-	fleetKey string
+	http connect.HTTPClient
 }
 
-// FleetKeyHeader carries the fleet key on every peer message.
-const FleetKeyHeader = "Catkinrun-Fleet-Key"
-
-// New returns a client; scheme is http or https.
-func New(client connect.HTTPClient, scheme, fleetKey string) *Client {
-	return &Client{http: client, scheme: scheme, fleetKey: fleetKey}
-}
+// New returns a client.
+func New(client connect.HTTPClient) *Client { return &Client{http: client} }
 
 // Call sends a message to the daemon at address, IP and port, and returns its answer.
 func Call[Q, A any](ctx context.Context, c *Client, address, procedure string, message *Q) (*A, error) {
-	client := connect.NewClient[Q, A](c.http, c.scheme+"://"+address+procedure,
+	client := connect.NewClient[Q, A](c.http, "http://"+address+procedure,
 		connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessage))
-	request := connect.NewRequest(message)
-	request.Header().Set(FleetKeyHeader, c.fleetKey)
-	response, err := client.CallUnary(ctx, request)
+	response, err := client.CallUnary(ctx, connect.NewRequest(message))
 	if err != nil {
 		return nil, err
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -1,215 +1,295 @@
-// Package registrar keeps the roster: it takes the announcements of the backend
-// server beside this daemon, asks for this host's place on the roster, and, on
-// roots, puts hosts on the roster and takes silent ones off.
-//
-//	server -> Announce -> join row in the table -> root commits a roster change
+// Package registrar keeps the state of the backend server beside this daemon, as the
+// server announces it, and publishes it with the daemon's own in the members' table.
 package registrar
 
 import (
 	"context"
 	"encoding/json"
-	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/committer"
-	"github.com/catkinrun/catkinrun/replicator"
+	"github.com/catkinrun/catkinrun/locator"
 )
 
-// Announcement is what a backend server says of itself, about once a second.
-type Announcement struct {
-	Service     string `json:"service"`
-	Address     string `json:"address"` // IP and port that take requests
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-	Draining    bool   `json:"draining"`
-}
-
-// Validate checks a decoded announcement; it fails with *catkinrun.InvalidError.
-func (a Announcement) Validate() error {
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return &catkinrun.InvalidError{Where: "announcement", Field: "address", Reason: "expected IP:port"}
-	}
-	if a.Slots < 1 || a.Connections < 1 {
-		return &catkinrun.InvalidError{Where: "announcement", Field: "slots", Reason: "slots and connections must be at least 1"}
-	}
-	route := catkinrun.Route{Service: a.Service, Method: http.MethodGet, Path: "/", Timeout: catkinrun.Duration(time.Second)}
-	return catkinrun.Resource{Kind: catkinrun.KindRoute, Name: "announced", Route: &route}.Validate()
-}
-
 const (
-	// maxAnnouncement bounds the body of an announcement, in bytes.
-	maxAnnouncement = 4096
-	// AnnouncementLife is how long a silent server still counts as ready.
-	AnnouncementLife = 3 * time.Second
-	// drainGrace is how long a draining server still gets what is under way to it.
-	drainGrace = 2 * time.Second
-	// firstAnnouncementWait delays the join so that it can name the service.
-	firstAnnouncementWait = 2 * time.Second
+	// acknowledgeWait is the longest time for which an announcement waits until it is
+	// published; a server waits one second for the acknowledgement.
+	acknowledgeWait = 300 * time.Millisecond
+	// retryWait is the wait after a write that failed; entries that lapsed while the
+	// store was away must be back within two seconds.
+	retryWait = 250 * time.Millisecond
+	// lookEvery is the time between two looks whether the row is as it should be.
+	lookEvery = 500 * time.Millisecond
+	// remembered is the number of ended servers whose late announcements are told apart.
+	remembered = 64
 )
 
-// Limits are the registrar's times.
-type Limits struct {
-	Interval time.Duration // between rounds
-	Silence  time.Duration // after which a silent host is taken off the roster
+// Locator knows the published rows.
+type Locator interface {
+	Row(host string) catkinrun.Row
+	Apply(page catkinrun.Page, whole bool)
 }
 
-// Registrar keeps this host's place on the roster.
+// Registrar keeps one host's entry. It is safe for concurrent use.
 type Registrar struct {
-	table     catkinrun.Table
-	committer *committer.Committer
-	replica   *replicator.Replica
-	clock     catkinrun.Clock
-	log       logrus.FieldLogger
-	limits    Limits
-	peer      string // own peer address
-	newID     func() string
+	store   catkinrun.Store
+	locator Locator
+	clock   catkinrun.Clock
+	log     logrus.FieldLogger
+	changed chan struct{}
 
 	mu        sync.Mutex
-	startedAt time.Time
-	announced Announcement
+	self      catkinrun.Member
+	heard     bool // the server has announced itself to this incarnation of the daemon
+	down      bool // the server refused a connection since its last announcement
+	coldUntil time.Time
 	heardAt   time.Time
-	leaving   bool
-	drainedAt time.Time // when the drain began; zero without one
-	askedFor  *catkinrun.Host
-	askedAt   time.Time
-	silent    map[string]time.Time // host to the time when its silence began
+	ended     []ending
+	published string // the row's value when it was last written or read
+	waiters   []chan struct{}
 }
 
-// New returns a registrar for the daemon whose peer listener is at peer. newID
-// makes unique change ids.
-func New(table catkinrun.Table, c *committer.Committer, replica *replicator.Replica, clock catkinrun.Clock, log logrus.FieldLogger, limits Limits, peer string, newID func() string) *Registrar {
+// ending is a start of a server that is over.
+type ending struct {
+	id   string
+	born int64
+}
+
+// New returns a registrar for the daemon that self describes.
+func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member) *Registrar {
 	return &Registrar{
-		table: table, committer: c, replica: replica, clock: clock, log: log,
-		limits: limits, peer: peer, newID: newID,
-		startedAt: clock.Now(), silent: make(map[string]time.Time),
+		store: store, locator: locator, clock: clock, log: log, self: self,
+		changed: make(chan struct{}, 1),
 	}
 }
 
-// ServeHTTP takes an announcement.
-func (r *Registrar) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	var a Announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxAnnouncement))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+// Server returns the server beside this daemon. open is false if it takes no new work.
+func (r *Registrar) Server() (server catkinrun.Server, open bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.self.Server == nil {
+		return catkinrun.Server{}, false
 	}
-	if err := a.Validate(); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	server = *r.self.Server
+	server.Cold = max(0, r.coldUntil.Sub(r.clock.Now()))
+	return server, !server.Draining && !r.down
+}
+
+// Adopt takes the server that an earlier incarnation of this daemon published, until
+// the server announces itself. The server checks its identity on each request.
+func (r *Registrar) Adopt(row catkinrun.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var before catkinrun.Member
+	if r.heard || r.self.Server != nil || row.Revision == 0 || json.Unmarshal(row.Value, &before) != nil || before.Server == nil {
 		return
 	}
-	r.Announce(a)
-	w.WriteHeader(http.StatusNoContent)
+	r.self = r.self.WithServer(before.Server)
+	r.log.WithFields(logrus.Fields{"server": before.Server.ID, "service": before.Server.Service, "draining": before.Server.Draining}).
+		Info("registrar: server known from the store")
 }
 
-// Announce takes the word of the server beside this daemon.
-func (r *Registrar) Announce(a Announcement) {
-	r.mu.Lock()
-	if a.Draining != r.announced.Draining || a.Service != r.announced.Service {
-		r.log.WithFields(logrus.Fields{"service": a.Service, "draining": a.Draining}).Info("registrar: server announced itself")
+// Announce implements platform.Registrar. It returns once the announcement counts
+// here, and a change is published or the store is slow.
+func (r *Registrar) Announce(s catkinrun.Server) {
+	if published := r.note(s); published != nil {
+		await(published)
 	}
-	r.announced = a
-	r.heardAt = r.clock.Now()
-	r.mu.Unlock()
-	r.refreshReady()
 }
 
-// Server returns the announced server; ok is false if requests must not be sent to
-// it. While this daemon leaves, its server stays open. For drainGrace after a drain has begun it is still open, so that what other
-// daemons sent before they learned of the drain is served.
-func (r *Registrar) Server() (a Announcement, ok bool) {
+// await waits for a write, but not longer than the server waits for its acknowledgement.
+func await(published chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), acknowledgeWait)
+	defer cancel()
+	select {
+	case <-published:
+	case <-ctx.Done():
+	}
+}
+
+// note takes an announcement. It returns nil if nothing is to be published.
+func (r *Registrar) note(s catkinrun.Server) chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	draining := !r.drainedAt.IsZero() && r.clock.Now().Sub(r.drainedAt) > drainGrace
-	return r.announced, r.freshLocked() && !draining
+	if r.outdatedLocked(s) {
+		r.log.WithFields(logrus.Fields{"server": s.ID, "born": s.Born, "sequence": s.Sequence}).Info("registrar: late announcement ignored")
+		return nil
+	}
+	before := r.self.Server
+	if before != nil && before.ID != s.ID {
+		r.endLocked(*before)
+	}
+	r.heard, r.down, r.heardAt = true, false, r.clock.Now()
+	r.coldUntil = r.heardAt.Add(s.Cold)
+	if before != nil && before.ID == s.ID && before.Born == s.Born && before.Draining {
+		s.Draining = true // a server that leaves does not come back under the same start
+	}
+	r.self = r.self.WithServer(&s)
+	if before != nil && before.ID == s.ID && before.Born == s.Born && before.Service == s.Service &&
+		before.Slots == s.Slots && before.Draining == s.Draining {
+		return nil
+	}
+	r.log.WithFields(logrus.Fields{
+		"server": s.ID, "service": s.Service, "slots": s.Slots, "draining": s.Draining, "born": s.Born, "cold": s.Cold.String(),
+	}).Info("registrar: server announced")
+	return r.publishLocked()
 }
 
-func (r *Registrar) freshLocked() bool {
-	return !r.heardAt.IsZero() && r.clock.Now().Sub(r.heardAt) < AnnouncementLife
+// outdatedLocked reports whether an announcement is older than what is known.
+func (r *Registrar) outdatedLocked(s catkinrun.Server) bool {
+	for _, e := range r.ended {
+		if e.id == s.ID && s.Born <= e.born {
+			return true
+		}
+	}
+	current := r.self.Server
+	if current == nil || !r.heard {
+		return current != nil && s.Born < current.Born
+	}
+	if s.Born != current.Born {
+		return s.Born < current.Born
+	}
+	return s.ID == current.ID && s.Sequence <= current.Sequence
 }
 
-func (r *Registrar) refreshReady() {
+// Deregister implements platform.Registrar: the server takes no new work from now on.
+func (r *Registrar) Deregister(id string) {
 	r.mu.Lock()
-	service := ""
-	if r.freshLocked() && !r.announced.Draining && !r.leaving {
-		service = r.announced.Service
+	current := r.self.Server
+	if current == nil || current.ID != id {
+		r.ended = append(r.ended, ending{id: id})
+		r.mu.Unlock()
+		return
 	}
-	r.noteDrainLocked()
+	r.endLocked(*current)
+	r.self = r.self.WithServer(nil)
+	r.log.WithFields(logrus.Fields{"server": id, "service": current.Service}).Info("registrar: server has left")
+	published := r.publishLocked()
 	r.mu.Unlock()
-	r.replica.SetReady(service)
+	await(published)
 }
 
-// noteDrainLocked dates the beginning of a drain.
-func (r *Registrar) noteDrainLocked() {
-	switch {
-	case !r.announced.Draining:
-		r.drainedAt = time.Time{}
-	case r.drainedAt.IsZero():
-		r.drainedAt = r.clock.Now()
+func (r *Registrar) endLocked(s catkinrun.Server) {
+	r.ended = append(r.ended, ending{id: s.ID, born: s.Born})
+	if len(r.ended) > remembered {
+		r.ended = r.ended[1:]
 	}
 }
 
-// Leaving reports whether this daemon is stopping.
-func (r *Registrar) Leaving() bool {
+// Refused notes that the server took no connection, or that another one has its
+// address; it gets no work until it announces itself again.
+func (r *Registrar) Refused(server, cause string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.leaving
+	if r.down || r.self.Server == nil || r.self.Server.ID != server {
+		return
+	}
+	r.down = true
+	r.log.WithFields(logrus.Fields{"server": server, "cause": cause}).Warn("registrar: server is not there")
 }
 
-// StartLeaving stops new work from being sent here.
-func (r *Registrar) StartLeaving() {
+// Leave publishes that this daemon is about to stop.
+func (r *Registrar) Leave() {
 	r.mu.Lock()
-	r.leaving = true
-	r.mu.Unlock()
-	r.refreshReady()
-	r.log.Info("registrar: leaving")
+	defer r.mu.Unlock()
+	r.self = r.self.WithLeaving()
+	r.publishLocked()
+}
+
+// publishLocked asks for a write; the channel is closed once it is done.
+func (r *Registrar) publishLocked() chan struct{} {
+	done := make(chan struct{})
+	r.waiters = append(r.waiters, done)
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+	return done
 }
 
-// Serve runs rounds until ctx ends. It implements suture.Service.
+// Serve keeps the row as it should be until ctx ends. It implements suture.Service.
 func (r *Registrar) Serve(ctx context.Context) error {
 	for {
-		r.round(ctx)
-		if err := r.clock.Wait(ctx, r.limits.Interval); err != nil {
-			return err
+		wait := lookEvery
+		if err := r.Publish(ctx); err != nil {
+			r.log.WithError(err).Warn("registrar: entry is not published")
+			wait = retryWait
+		}
+		waiting, cancel := context.WithTimeout(ctx, wait)
+		select {
+		case <-r.changed:
+		case <-waiting.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
 }
 
-func (r *Registrar) round(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 4*r.limits.Interval)
-	defer cancel()
-	r.refreshReady()
-	if err := r.join(ctx); err != nil {
-		r.log.WithError(err).Debug("registrar: join not stored")
+// Publish writes the row if it is not as it should be. The write has a condition, so
+// that one whose answer was lost and that takes effect late never undoes a later one.
+func (r *Registrar) Publish(ctx context.Context) error {
+	value, waiters, err := r.value()
+	if err != nil {
+		return err
 	}
-	if !r.steward() {
-		return
+	row := r.locator.Row(r.self.Host)
+	if row.Revision != 0 && string(row.Value) == value {
+		release(waiters)
+		return nil
 	}
-	if err := r.updateRoster(ctx); err != nil {
-		r.log.WithError(err).Debug("registrar: roster not changed")
+	key := locator.Key(r.self.Host)
+	page, err := r.store.Commit(ctx, catkinrun.Transaction{
+		Checks: []catkinrun.Check{{Table: locator.Table, Key: key, Revision: row.Revision}},
+		Writes: []catkinrun.Write{{Table: locator.Table, Key: key, Value: []byte(value)}},
+	})
+	var changed *catkinrun.CheckError
+	if errors.As(err, &changed) && changed.Key != "" {
+		r.restore(waiters)
+		return r.adoptRow(changed.Current, key)
 	}
+	if err != nil {
+		r.restore(waiters)
+		return err
+	}
+	r.locator.Apply(catkinrun.Page{Rows: []catkinrun.Row{{Key: key, Value: []byte(value), Revision: page.Revision}}}, false)
+	release(waiters)
+	return nil
 }
 
-// steward reports whether this daemon commits roster changes: roots do, and a
-// daemon that waits for its place on an empty roster.
-func (r *Registrar) steward() bool {
-	identity := r.replica.Identity()
-	snapshot := r.replica.Snapshot()
-	if snapshot.Count(catkinrun.KindHost) == 0 {
-		return true
-	}
-	return replicator.Place(snapshot, identity.Host, identity.Zone).Root || r.orphaned(snapshot)
+// adoptRow takes the row that the store has, so that the next write replaces it.
+func (r *Registrar) adoptRow(current catkinrun.Row, key string) error {
+	current.Key = key
+	current.Deleted = current.Revision == 0
+	r.locator.Apply(catkinrun.Page{Rows: []catkinrun.Row{current}}, false)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.publishLocked()
+	return nil
 }
 
-// orphaned reports whether this host has waited long for its place.
-func (r *Registrar) orphaned(s *catkinrun.Snapshot) bool {
-	_, member := s.Host(r.replica.Identity().Host)
+func (r *Registrar) value() (string, []chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !member && !r.askedAt.IsZero() && r.clock.Now().Sub(r.startedAt) > r.limits.Silence
+	waiters := r.waiters
+	r.waiters = nil
+	raw, err := json.Marshal(r.self)
+	return string(raw), waiters, err
+}
+
+func (r *Registrar) restore(waiters []chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiters = append(r.waiters, waiters...)
+}
+
+func release(waiters []chan struct{}) {
+	for _, w := range waiters {
+		close(w)
+	}
 }
--- a/resource.go
+++ b/resource.go
@@ -1,8 +1,7 @@
 package catkinrun
 
 import (
-	"net/netip"
-	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,8 +10,7 @@
 	"gopkg.in/yaml.v3"
 )
 
-// Version is a position in the change log. A resource's version is that of the
-// change which last wrote it.
+// Version numbers configurations; a later one is higher, not always by one.
 type Version uint64
 
 // Kind names a kind of declared resource.
@@ -20,46 +18,60 @@
 
 // The kinds of resources.
 const (
-	KindTeam  Kind = "team"
-	KindKey   Kind = "key"
-	KindRoute Kind = "route"
-	KindHost  Kind = "host"
+	KindTeam    Kind = "team"
+	KindRoute   Kind = "route"
+	KindService Kind = "service"
+	KindLimits  Kind = "limits"
 )
 
 // Kinds lists the kinds in the order in which they are shown and applied.
-var Kinds = []Kind{KindTeam, KindKey, KindRoute, KindHost}
+var Kinds = []Kind{KindTeam, KindService, KindRoute, KindLimits}
 
-// Team is a tenant with a rate and a burst over the whole fleet.
+// Team is a tenant with a rate and a burst over all hosts together.
 type Team struct {
-	Rate  float64 `cbor:"rate" json:"rate" yaml:"rate"`    // requests per second
-	Burst float64 `cbor:"burst" json:"burst" yaml:"burst"` // requests
+	Rate     float64   `cbor:"rate" json:"rate" yaml:"rate"`    // requests per second, 0 for no limit
+	Burst    float64   `cbor:"burst" json:"burst" yaml:"burst"` // requests
+	Priority *Priority `cbor:"priority" json:"priority,omitempty" yaml:"priority,omitempty"`
+	Keys     []string  `cbor:"keys" json:"keys,omitempty" yaml:"keys,omitempty"`
 }
 
-// Key belongs to one team. Only the hash of its secret is kept.
-type Key struct {
-	Team      string `cbor:"team" json:"team" yaml:"team"`
-	Hash      string `cbor:"hash" json:"hash" yaml:"hash"` // SHA-256 in hex
-	Withdrawn bool   `cbor:"withdrawn" json:"withdrawn" yaml:"withdrawn,omitempty"`
+// Route maps the requests of a domain whose path begins with a prefix to a service,
+// or to several by weight.
+type Route struct {
+	Domain     string     `cbor:"domain" json:"domain" yaml:"domain"`
+	Prefix     string     `cbor:"prefix" json:"prefix" yaml:"prefix"`
+	Targets    []Weighted `cbor:"targets" json:"targets" yaml:"targets"`
+	Priority   Priority   `cbor:"priority" json:"priority" yaml:"priority"`
+	Open       bool       `cbor:"open" json:"open,omitempty" yaml:"open,omitempty"`
+	Idempotent bool       `cbor:"idempotent" json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
+	Timeout    Duration   `cbor:"timeout" json:"timeout" yaml:"timeout"`       // longest wait for an answer
+	Objective  Duration   `cbor:"objective" json:"objective" yaml:"objective"` // latency wanted
+	Attempts   int        `cbor:"attempts" json:"attempts" yaml:"attempts"`    // servers that one request may be sent to
 }
 
-// Route maps requests to a service. Path matches as a prefix of whole segments.
-type Route struct {
-	Service    string   `cbor:"service" json:"service" yaml:"service"`
-	Method     string   `cbor:"method" json:"method" yaml:"method"`
-	Path       string   `cbor:"path" json:"path" yaml:"path"`
-	Priority   Priority `cbor:"priority" json:"priority" yaml:"priority"`
-	Open       bool     `cbor:"open" json:"open" yaml:"open,omitempty"`
-	Idempotent bool     `cbor:"idempotent" json:"idempotent" yaml:"idempotent,omitempty"`
-	Timeout    Duration `cbor:"timeout" json:"timeout" yaml:"timeout"`
+// Weighted is one service of a route.
+type Weighted struct {
+	Service string  `cbor:"service" json:"service" yaml:"service"`
+	Weight  float64 `cbor:"weight" json:"weight" yaml:"weight"`
+}
+
+// Serves reports whether the route leads to the service.
+func (r Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Weighted) bool { return t.Service == service })
+}
+
+// Service is what the operator says of a service's backend servers.
+type Service struct {
+	Health         string `cbor:"health" json:"health" yaml:"health"` // path of the health check
+	MaxConnections int    `cbor:"max-connections" json:"max-connections" yaml:"max-connections"`
 }
 
-// Host is a roster entry: one daemon incarnation and the backend server beside it.
-type Host struct {
-	Incarnation string `cbor:"incarnation" json:"incarnation" yaml:"incarnation"`
-	Zone        string `cbor:"zone" json:"zone" yaml:"zone"`
-	Peer        string `cbor:"peer" json:"peer" yaml:"peer"`          // IP and port of the peer listener
-	Service     string `cbor:"service" json:"service" yaml:"service"` // empty until the server announces itself
-	Slots       int    `cbor:"slots" json:"slots" yaml:"slots"`
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int64    `cbor:"header-bytes" json:"header-bytes" yaml:"header-bytes"`
+	BodyBytes     int64    `cbor:"body-bytes" json:"body-bytes" yaml:"body-bytes"`
+	HeaderTimeout Duration `cbor:"header-timeout" json:"header-timeout" yaml:"header-timeout"`
+	IdleTimeout   Duration `cbor:"idle-timeout" json:"idle-timeout" yaml:"idle-timeout"`
 }
 
 // Duration is a time.Duration written like "2s".
@@ -94,30 +106,24 @@
 
 // Resource is one declared resource; exactly the field of its kind is set.
 type Resource struct {
-	Kind    Kind    `cbor:"kind" json:"kind" yaml:"kind"`
-	Name    string  `cbor:"name" json:"name" yaml:"name"`
-	Version Version `cbor:"version" json:"version" yaml:"version,omitempty"`
-	Actor   string  `cbor:"actor" json:"actor,omitempty" yaml:"actor,omitempty"`
-	Team    *Team   `cbor:"team,omitempty" json:"team,omitempty" yaml:"team,omitempty"`
-	Key     *Key    `cbor:"key,omitempty" json:"key,omitempty" yaml:"key,omitempty"`
-	Route   *Route  `cbor:"route,omitempty" json:"route,omitempty" yaml:"route,omitempty"`
-	Host    *Host   `cbor:"host,omitempty" json:"host,omitempty" yaml:"host,omitempty"`
+	Kind    Kind     `cbor:"kind" json:"kind" yaml:"kind"`
+	Name    string   `cbor:"name" json:"name" yaml:"name"`
+	Team    *Team    `cbor:"team,omitempty" json:"team,omitempty" yaml:"team,omitempty"`
+	Route   *Route   `cbor:"route,omitempty" json:"route,omitempty" yaml:"route,omitempty"`
+	Service *Service `cbor:"service,omitempty" json:"service,omitempty" yaml:"service,omitempty"`
+	Limits  *Limits  `cbor:"limits,omitempty" json:"limits,omitempty" yaml:"limits,omitempty"`
 }
 
 const (
-	maxNameLength = 128
+	maxNameLength = 200 // bytes, as the store's keys
 	maxRate       = 1e7 // requests per second
-	maxSlots      = 100000
 	maxTimeout    = 10 * time.Minute
-	hashLength    = 64 // hex digits of SHA-256
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
-
 // Validate checks the resource by itself; it fails with *InvalidError.
 func (r Resource) Validate() error {
-	if len(r.Name) > maxNameLength || !namePattern.MatchString(r.Name) {
-		return r.invalid("name", "expected lower-case letters, digits, dots and hyphens, at most 128")
+	if r.Name == "" || len(r.Name) > maxNameLength {
+		return r.invalid("name", "expected 1 to 200 bytes")
 	}
 	if r.countSpecs() != 1 {
 		return r.invalid(string(r.Kind), "expected exactly the fields of its kind")
@@ -125,19 +131,19 @@
 	switch {
 	case r.Kind == KindTeam && r.Team != nil:
 		return r.validateTeam()
-	case r.Kind == KindKey && r.Key != nil:
-		return r.validateKey()
 	case r.Kind == KindRoute && r.Route != nil:
 		return r.validateRoute()
-	case r.Kind == KindHost && r.Host != nil:
-		return r.validateHost()
+	case r.Kind == KindService && r.Service != nil:
+		return r.validateService()
+	case r.Kind == KindLimits && r.Limits != nil:
+		return r.validateLimits()
 	}
-	return r.invalid("kind", "expected team, key, route or host with the fields of that kind")
+	return r.invalid("kind", "expected team, service, route or limits with the fields of that kind")
 }
 
 func (r Resource) countSpecs() int {
 	count := 0
-	for _, set := range []bool{r.Team != nil, r.Key != nil, r.Route != nil, r.Host != nil} {
+	for _, set := range []bool{r.Team != nil, r.Route != nil, r.Service != nil, r.Limits != nil} {
 		if set {
 			count++
 		}
@@ -146,21 +152,11 @@
 }
 
 func (r Resource) validateTeam() error {
-	if !(r.Team.Rate > 0 && r.Team.Rate <= maxRate) {
-		return r.invalid("rate", "expected requests per second above 0 and at most 1e7")
+	if !(r.Team.Rate >= 0 && r.Team.Rate <= maxRate) {
+		return r.invalid("rate", "expected requests per second of at least 0 and at most 1e7")
 	}
-	if !(r.Team.Burst >= 1 && r.Team.Burst <= maxRate) {
-		return r.invalid("burst", "expected at least 1 and at most 1e7 requests")
-	}
-	return nil
-}
-
-func (r Resource) validateKey() error {
-	if len(r.Key.Hash) != hashLength {
-		return r.invalid("hash", "expected SHA-256 in hex")
-	}
-	if r.Key.Team == "" {
-		return r.invalid("team", "missing")
+	if !(r.Team.Burst >= 0 && r.Team.Burst <= maxRate) {
+		return r.invalid("burst", "expected at least 0 and at most 1e7 requests")
 	}
 	return nil
 }
@@ -168,29 +164,47 @@
 func (r Resource) validateRoute() error {
 	route := r.Route
 	switch {
-	case !namePattern.MatchString(route.Service):
-		return r.invalid("service", "missing or malformed")
-	case route.Method == "" || route.Method != strings.ToUpper(route.Method):
-		return r.invalid("method", "expected an upper-case HTTP method")
-	case !strings.HasPrefix(route.Path, "/"):
-		return r.invalid("path", "expected a path that starts with /")
-	case route.Priority < 0 || route.Priority >= priorityCount:
-		return r.invalid("priority", "expected deferrable, normal or important")
+	case route.Domain == "":
+		return r.invalid("domain", "missing")
+	case !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/"):
+		return r.invalid("prefix", "expected a path that begins and ends with /")
+	case route.Priority < 0:
+		return r.invalid("priority", "expected 0 for the most urgent, or above")
 	case route.Timeout <= 0 || time.Duration(route.Timeout) > maxTimeout:
 		return r.invalid("timeout", "expected a duration above 0 and at most 10m")
+	case route.Objective < 0:
+		return r.invalid("objective", "expected a duration of at least 0")
+	case route.Attempts < 1:
+		return r.invalid("attempts", "expected at least 1")
 	}
-	return nil
+	return r.validateTargets()
 }
 
-func (r Resource) validateHost() error {
-	if _, err := netip.ParseAddrPort(r.Host.Peer); err != nil {
-		return r.invalid("peer", "expected IP:port")
+func (r Resource) validateTargets() error {
+	sum := 0.0
+	for _, t := range r.Route.Targets {
+		if t.Service == "" || !(t.Weight >= 0) {
+			return r.invalid("targets", "expected services with weights of at least 0")
+		}
+		sum += t.Weight
 	}
-	if r.Host.Incarnation == "" || r.Host.Zone == "" {
-		return r.invalid("incarnation", "incarnation and zone are needed")
+	if sum <= 0 {
+		return r.invalid("targets", "expected a service with a weight above 0")
+	}
+	return nil
+}
+
+func (r Resource) validateService() error {
+	if r.Service.MaxConnections < 0 {
+		return r.invalid("max-connections", "expected at least 0")
 	}
-	if r.Host.Slots < 0 || r.Host.Slots > maxSlots {
-		return r.invalid("slots", "expected 0 to "+strconv.Itoa(maxSlots))
+	return nil
+}
+
+func (r Resource) validateLimits() error {
+	l := r.Limits
+	if l.HeaderBytes < 0 || l.BodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		return r.invalid("limits", "expected nothing below 0")
 	}
 	return nil
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -1,6 +1,6 @@
-// Package retrier decides whether a failed attempt may be made again: only when
-// that cannot run a request twice, within the allowance of the request's whole
-// call tree, and within a share of each service's traffic.
+// Package retrier decides whether a request may be sent to one more backend server:
+// only when that cannot run it twice, within its route's attempts and within a budget
+// for each service.
 package retrier
 
 import (
@@ -10,64 +10,82 @@
 )
 
 const (
-	// retryRatio is the share of a service's requests that may be retries.
-	retryRatio = 0.1
-	// reserve is the number of retries at hand for a service with little traffic.
-	reserve = 10
+	// earned is the part of a service's first attempts that may be repeated. A repeat's
+	// own calls count as repeats at the services called, so along a chain of five the
+	// ratios add up to the bound of 0.2.
+	earned = 0.04
+	// reservePart is the part of the bound's extra repeats that all hosts hold together,
+	// so that a window that begins with full reserves stays inside the bound.
+	reservePart = 0.5
 )
 
-// Budget bounds the ratio of retries for each destination service.
+// Budget bounds the repeats for each service at this daemon.
 type Budget struct {
+	extra float64 // repeats that the bound allows beyond the ratio, over all hosts
+	hosts func() int
+
 	mu     sync.Mutex
 	tokens map[string]float64
 }
 
-// New returns a budget with its reserve for every service.
-func New() *Budget {
-	return &Budget{tokens: make(map[string]float64)}
+// New returns a budget. extra is the bound's allowance per window beyond its ratio,
+// and hosts counts the daemons that share it.
+func New(extra float64, hosts func() int) *Budget {
+	return &Budget{extra: extra, hosts: hosts, tokens: make(map[string]float64)}
+}
+
+// reserve is the most that this daemon saves up for a service.
+func (b *Budget) reserve() float64 {
+	return max(1, reservePart*b.extra/float64(max(1, b.hosts())))
 }
 
 // Deposit records a first attempt.
 func (b *Budget) Deposit(service string) {
+	reserve := b.reserve()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.leftLocked(service)+retryRatio, reserve)
+	left, ok := b.tokens[service]
+	if !ok {
+		left = reserve
+	}
+	b.tokens[service] = min(left+earned, reserve)
 }
 
-// Spend takes one retry; it reports false if the service's budget is spent.
+// Spend takes one repeat; it reports false if the service's budget is spent.
 func (b *Budget) Spend(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	left := b.leftLocked(service)
-	if left < 1 {
+	if b.tokens[service] < 1 {
 		return false
 	}
-	b.tokens[service] = left - 1
+	b.tokens[service]--
 	return true
 }
 
-func (b *Budget) leftLocked(service string) float64 {
-	left, ok := b.tokens[service]
-	if !ok {
-		return reserve
+// hostsPerRequest bounds the hosts that one request is offered to while none of their
+// servers is reached.
+const hostsPerRequest = 3
+
+// Repeatable reports whether a refused request may be offered once more, and whether
+// that counts as a repeat because a server has been reached. reached is the number of
+// servers that the request has been sent to.
+func Repeatable(c *catkinrun.Call, r *catkinrun.Refusal, reached int) (allowed, counted bool) {
+	if c.Stream != nil {
+		return false, false
+	}
+	if r.Outcome == catkinrun.NotRun && !r.Reached {
+		return otherHostMayHelp(r) && len(c.Tried) < hostsPerRequest, false
 	}
-	return left
+	if r.Outcome != catkinrun.NotRun && !c.Envelope.Idempotent || r.Reason == catkinrun.ReasonDeadline {
+		return false, false
+	}
+	return reached < c.Route.Attempts, true
 }
 
-// Allowed reports whether a call may be sent again after a refusal. A request
-// that may have run is sent again only if its route is idempotent. A request that one
-// server sheds may try one other, since load is never quite even.
-func Allowed(c *catkinrun.Call, r *catkinrun.Refusal) bool {
-	if c.Stream != nil || c.Envelope.Allowance < 1 {
-		return false
-	}
+func otherHostMayHelp(r *catkinrun.Refusal) bool {
 	switch r.Reason {
-	case catkinrun.ReasonUnreachable, catkinrun.ReasonBroken:
-		return r.Outcome == catkinrun.NotRun || c.Envelope.Idempotent
-	case catkinrun.ReasonOverload:
-		return len(c.Tried) == 0 && c.Target != ""
-	case catkinrun.ReasonLeaving, catkinrun.ReasonStale, catkinrun.ReasonNotOwner, catkinrun.ReasonNoServer:
-		return r.Outcome == catkinrun.NotRun
+	case catkinrun.ReasonUnreachable, catkinrun.ReasonLeaving, catkinrun.ReasonOverload, catkinrun.ReasonStale:
+		return true
 	}
 	return false
 }
--- a/router/router.go
+++ b/router/router.go
@@ -1,10 +1,10 @@
-// Package router picks the backend server for a request: the own availability zone
-// first, the less loaded of two random choices, cold servers carefully, and servers
-// that fail put aside for a while, but never more than half of a service.
+// Package router chooses the backend server for a request: the least loaded one, with
+// the own availability zone preferred, and those that fail or cannot be reached avoided
+// in proportion.
 package router
 
 import (
-	"math/rand/v2"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -12,218 +12,209 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/replicator"
 )
 
 const (
-	// slowStart is the time over which a new server's weight rises to its full slots.
-	slowStart = 10 * time.Second
-	// coldWeight is the part of its slots that a new server counts at first.
-	coldWeight = 0.1
-	// failuresToEject is the number of failures in a row that put a server aside.
-	failuresToEject = 3
-	// ejection is the time for which a failing server is put aside.
-	ejection = 5 * time.Second
-	// spillLoad is the load of the own zone from which other zones are used too.
-	spillLoad = 0.8
+	// zonePenalty is the load that another availability zone's server must be below the
+	// own one's to be chosen: bytes between zones are paid for, and each crossing adds
+	// over a millisecond.
+	zonePenalty = 0.15
+	// failurePenalty is the load by which a server that fails every request counts as
+	// fuller; one that fails a third of them is used when the others are two thirds full.
+	failurePenalty = 2.0
+	// failureWeight weighs one more result against the failures so far.
+	failureWeight = 0.1
+	// failureMemory is the time in which a server's failures fade if it gets no requests,
+	// so that it is tried again.
+	failureMemory = 3 * time.Second
 	// reportLife is how long a server's word about its load counts.
 	reportLife = time.Second
-	// statusLife is how long one reading of the hosts' status is used.
-	statusLife = 100 * time.Millisecond
+	// firstAside and lastAside bound the time for which a host that cannot be reached is
+	// set aside; it doubles with each failure. A host that is back is used within the last.
+	firstAside = 250 * time.Millisecond
+	lastAside  = 2 * time.Second
+	// leavingAside is the time for which a host that says it takes no work is set aside,
+	// if its row does not say so by then.
+	leavingAside = time.Second
+	// sample is the number of servers that are compared for one request.
+	sample = 6
+	// full is the load of a server that refused for overload.
+	full = 1.0
 )
 
-// Holder tells which hosts are ready.
-type Holder interface {
-	Ready(service string) []replicator.Status
-	Snapshot() *catkinrun.Snapshot
+// Members knows which hosts serve what.
+type Members interface {
+	Serving(service string) []catkinrun.Member
 }
 
-// server is what this daemon knows of one backend server.
+// server is what this daemon knows of one host.
 type server struct {
 	incarnation string
-	readyAt     time.Time
 	inFlight    int     // requests from here
-	reported    float64 // load in its last answer, 0 to 1 and above
+	reported    float64 // load in its last answer, per slot
 	reportedAt  time.Time
-	failures    int // in a row
+	failures    float64 // part of the results, fading
+	failedAt    time.Time
+	aside       time.Duration
 	asideUntil  time.Time
 }
 
-// Router picks servers.
+// Router chooses servers. It is safe for concurrent use.
 type Router struct {
-	holder Holder
-	clock  catkinrun.Clock
-	log    logrus.FieldLogger
-	self   string
-	zone   string
-	random *rand.Rand
-
-	mu       sync.Mutex
-	servers  map[string]*server
-	services map[string]*reading
+	members Members
+	clock   catkinrun.Clock
+	log     logrus.FieldLogger
+	zone    string
+	random  func() float64
+
+	mu      sync.Mutex
+	servers map[string]*server
 }
 
-// reading is the ready hosts of a service at some time.
-type reading struct {
-	at    time.Time
-	hosts []string // sorted
-	zones map[string]string
-	slots map[string]int
+// New returns a router for a daemon in a zone. random returns numbers from 0 to 1.
+func New(members Members, clock catkinrun.Clock, log logrus.FieldLogger, zone string, random func() float64) *Router {
+	return &Router{members: members, clock: clock, log: log, zone: zone, random: random, servers: make(map[string]*server)}
 }
 
-// New returns a router for the daemon at host self in a zone. random makes the
-// two choices.
-func New(holder Holder, clock catkinrun.Clock, log logrus.FieldLogger, self, zone string, random *rand.Rand) *Router {
-	return &Router{
-		holder: holder, clock: clock, log: log, self: self, zone: zone, random: random,
-		servers: make(map[string]*server), services: make(map[string]*reading),
-	}
+// Choice is a chosen host and why.
+type Choice struct {
+	Member catkinrun.Member
+	Score  float64 // its load and penalties
+	Among  int     // servers that could have been chosen
 }
 
-// Pick chooses a host for a service, other than those tried. ok is false if none
-// is ready.
-func (r *Router) Pick(service string, tried []string) (host string, ok bool) {
+// Choose picks a host for a service, other than those tried. ok is false if there is none.
+func (r *Router) Choose(service string, tried []string) (choice Choice, ok bool) {
+	candidates := r.members.Serving(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ready := r.readLocked(service)
-	candidates := r.candidatesLocked(ready, tried)
-	if len(candidates) == 0 {
-		return "", false
+	now := r.clock.Now()
+	offset := int(r.random() * float64(len(candidates)))
+	best := math.Inf(1)
+	compared := 0
+	for i := range candidates {
+		m := candidates[(offset+i)%len(candidates)]
+		if slices.Contains(tried, m.Host) {
+			continue
+		}
+		s := r.serverLocked(m.Host, m.Incarnation)
+		if now.Before(s.asideUntil) {
+			continue
+		}
+		if score := r.scoreLocked(s, m, now); score < best {
+			best = score
+			choice.Member = m
+		}
+		compared++
+		if compared == sample {
+			break
+		}
 	}
-	host = r.lighterLocked(ready, candidates)
-	r.log.WithFields(logrus.Fields{
-		"service": service, "host": host, "among": len(candidates), "load": r.loadLocked(ready, host), "tried": len(tried),
-	}).Debug("router: host chosen")
-	return host, true
+	choice.Score, choice.Among = best, len(candidates)
+	if compared > 0 {
+		return choice, true
+	}
+	return r.lastResortLocked(candidates, tried)
+}
+
+// lastResortLocked returns the host that has been set aside for the least time yet,
+// when all are.
+func (r *Router) lastResortLocked(candidates []catkinrun.Member, tried []string) (choice Choice, ok bool) {
+	var until time.Time
+	for _, m := range candidates {
+		s := r.serverLocked(m.Host, m.Incarnation)
+		if slices.Contains(tried, m.Host) || ok && !s.asideUntil.Before(until) {
+			continue
+		}
+		choice = Choice{Member: m, Score: math.Inf(1), Among: len(candidates)}
+		until, ok = s.asideUntil, true
+	}
+	return choice, ok
 }
 
-// Address returns the peer address of a host.
-func (r *Router) Address(host string) (string, bool) {
-	entry, ok := r.holder.Snapshot().Host(host)
-	return entry.Peer, ok
+func (r *Router) scoreLocked(s *server, m catkinrun.Member, now time.Time) float64 {
+	score := float64(s.inFlight) / float64(m.Server.Slots)
+	if now.Sub(s.reportedAt) < reportLife {
+		score = max(score, s.reported)
+	}
+	if m.Zone != r.zone {
+		score += zonePenalty
+	}
+	fading := math.Exp(-now.Sub(s.failedAt).Seconds() / failureMemory.Seconds())
+	return score + failurePenalty*s.failures*fading
 }
 
-// Started records that a request goes to the host.
+// Started notes that a request goes to the host.
 func (r *Router) Started(host string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.serverLocked(host).inFlight++
-}
-
-// Ended records how a request to the host ended, and the load that the answer
-// reported; a negative load is unknown.
-func (r *Router) Ended(host string, failed bool, load float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.serverLocked(host)
-	s.inFlight--
-	if load >= 0 {
-		s.reported = load
-		s.reportedAt = r.clock.Now()
-	}
-	if !failed {
-		s.failures = 0
-		return
-	}
-	s.failures++
-	if s.failures >= failuresToEject {
-		s.failures = 0
-		s.asideUntil = r.clock.Now().Add(ejection)
-		r.log.WithField("host", host).Info("router: failing host put aside")
+	if s, ok := r.servers[host]; ok {
+		s.inFlight++
 	}
 }
 
-// Left records that the host said it takes no new work.
-func (r *Router) Left(host string) {
+// Result is how a request to a host ended.
+type Result int
+
+// The results of requests.
+const (
+	Served      Result = iota
+	Failed             // the server failed, or its answer was not whole
+	Full               // it refused for overload
+	Leaving            // it takes no new work
+	Unreachable        // the daemon could not be reached
+	Ended              // the request ended for a reason that says nothing of the server
+)
+
+// Ended notes how a request to the host ended, and the load that the answer reported;
+// a negative one is unknown.
+func (r *Router) Ended(host string, result Result, load float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.serverLocked(host).asideUntil = r.clock.Now().Add(ejection)
-}
-
-func (r *Router) serverLocked(host string) *server {
 	s, ok := r.servers[host]
 	if !ok {
-		s = &server{}
-		r.servers[host] = s
-	}
-	return s
-}
-
-// readLocked returns a service's ready hosts, read anew now and then.
-func (r *Router) readLocked(service string) *reading {
-	now := r.clock.Now()
-	old := r.services[service]
-	if old != nil && now.Sub(old.at) < statusLife {
-		return old
-	}
-	next := &reading{at: now, zones: make(map[string]string), slots: make(map[string]int)}
-	for _, status := range r.holder.Ready(service) {
-		next.hosts = append(next.hosts, status.Name)
-		next.zones[status.Name] = status.Host.Zone
-		next.slots[status.Name] = status.Host.Slots
-		r.welcomeLocked(status.Name, status.Host.Incarnation, old == nil)
-	}
-	r.services[service] = next
-	return next
-}
-
-// welcomeLocked starts the slow start of a new incarnation. Servers that were
-// ready at this daemon's first reading count as warm.
-func (r *Router) welcomeLocked(host, incarnation string, warm bool) {
-	s := r.serverLocked(host)
-	if s.incarnation == incarnation {
 		return
 	}
-	s.incarnation = incarnation
-	s.failures = 0
-	s.asideUntil = time.Time{}
-	s.readyAt = r.clock.Now()
-	if warm {
-		s.readyAt = s.readyAt.Add(-slowStart)
-	}
-}
-
-// candidatesLocked returns the own zone's servers, or all if that zone has none
-// with room. Servers put aside come back if they are half of the service or more.
-func (r *Router) candidatesLocked(ready *reading, tried []string) []string {
-	untried := without(ready.hosts, func(h string) bool { return slices.Contains(tried, h) })
 	now := r.clock.Now()
-	sound := without(untried, func(h string) bool { return r.servers[h].asideUntil.After(now) })
-	if len(sound)*2 < len(untried) {
-		sound = untried
+	s.inFlight = max(0, s.inFlight-1)
+	if load >= 0 {
+		s.reported, s.reportedAt = load, now
 	}
-	near := without(sound, func(h string) bool { return ready.zones[h] != r.zone })
-	roomy := slices.ContainsFunc(near, func(h string) bool { return r.loadLocked(ready, h) < spillLoad })
-	if roomy {
-		return near
+	switch result {
+	case Served:
+		s.aside = 0
+		s.noteLocked(now, 0)
+	case Failed:
+		s.noteLocked(now, 1)
+	case Full:
+		s.reported, s.reportedAt = max(s.reported, full), now
+	case Leaving:
+		s.asideUntil = now.Add(leavingAside)
+	case Unreachable:
+		s.aside = min(max(2*s.aside, firstAside), lastAside)
+		s.asideUntil = now.Add(s.aside)
+		r.log.WithFields(logrus.Fields{"host": host, "for": s.aside.String()}).Info("router: host set aside")
 	}
-	return sound
-}
-
-func without(hosts []string, drop func(string) bool) []string {
-	return slices.DeleteFunc(slices.Clone(hosts), drop)
 }
 
-// lighterLocked makes two random choices and takes the one with less load.
-func (r *Router) lighterLocked(ready *reading, hosts []string) string {
-	a := hosts[r.random.IntN(len(hosts))]
-	b := hosts[r.random.IntN(len(hosts))]
-	if r.loadLocked(ready, b) < r.loadLocked(ready, a) {
-		return b
+func (s *server) noteLocked(now time.Time, failed float64) {
+	fading := math.Exp(-now.Sub(s.failedAt).Seconds() / failureMemory.Seconds())
+	if s.failedAt.IsZero() {
+		fading = 0
 	}
-	return a
+	s.failures = s.failures*fading + failureWeight*(failed-s.failures*fading)
+	s.failedAt = now
 }
 
-// loadLocked is the part of a server's slots in use: the larger of its own last
-// word and of what is in flight from here.
-func (r *Router) loadLocked(ready *reading, host string) float64 {
-	s := r.serverLocked(host)
-	slots := float64(max(1, ready.slots[host]))
-	warmth := float64(r.clock.Now().Sub(s.readyAt)) / float64(slowStart)
-	weight := min(1, coldWeight+(1-coldWeight)*warmth)
-	load := float64(s.inFlight) / slots
-	if r.clock.Now().Sub(s.reportedAt) < reportLife {
-		load = max(load, s.reported)
+// serverLocked returns the state of a host; that of an earlier incarnation is dropped.
+func (r *Router) serverLocked(host, incarnation string) *server {
+	s, ok := r.servers[host]
+	if !ok {
+		s = &server{incarnation: incarnation}
+		r.servers[host] = s
 	}
-	return load / weight
+	if s.incarnation != incarnation {
+		s.incarnation, s.aside, s.asideUntil, s.failures = incarnation, 0, time.Time{}, 0
+	}
+	return s
 }
