--- a/snapshot.go
+++ b/snapshot.go
@@ -1,264 +1,150 @@
 package catkinrun
 
 import (
-	"maps"
+	"cmp"
+	"hash/fnv"
 	"slices"
 	"strings"
 )
 
-// Snapshot is the whole declared configuration at one version. It is immutable;
-// With returns the next one.
+// Snapshot is one whole configuration. It is immutable.
 type Snapshot struct {
-	version        Version
-	resources      map[Kind]map[string]Resource
-	keysByHash     map[string]string
-	routes         []Resource // longest path first
-	rosterVersion  Version
-	previousRoster map[string]string // votes before the last roster change
-	views          map[string]View
-	zones          map[string][]string // host names by zone, sorted
-	rankings       *rankings
-	owners         []Owner // by shard
+	version   Version
+	resources []Resource
+	teams     map[string]*Team
+	services  map[string]*Service
+	domains   map[string][]*Resource // routes by domain, longest prefix first
+	keys      map[string]string      // team by key
+	limits    Limits
 }
 
-// SnapshotData is the form of a snapshot in the object store and between daemons.
+// SnapshotData is the form of a snapshot between daemons.
 type SnapshotData struct {
-	Version        Version           `cbor:"version"`
-	Resources      []Resource        `cbor:"resources"`
-	RosterVersion  Version           `cbor:"roster-version"`
-	PreviousRoster map[string]string `cbor:"previous-roster"`
-	Views          map[string]View   `cbor:"views"`
-	Owners         []Owner           `cbor:"owners"`
+	Version   Version    `cbor:"version"`
+	Resources []Resource `cbor:"resources"`
 }
 
-// NewSnapshot returns the empty configuration at version 0.
-func NewSnapshot() *Snapshot {
-	s := &Snapshot{
-		resources:  make(map[Kind]map[string]Resource),
-		keysByHash: make(map[string]string),
-		views:      make(map[string]View),
-		owners:     make([]Owner, shardCount),
-		rankings:   &rankings{zones: make(map[string][]string)},
+// Validate checks decoded data; it fails with *InvalidError.
+func (d SnapshotData) Validate() error {
+	if d.Version == 0 {
+		return &InvalidError{Where: "configuration", Field: "version", Reason: "expected at least 1"}
 	}
-	for _, kind := range Kinds {
-		s.resources[kind] = make(map[string]Resource)
-	}
-	return s
-}
-
-// LoadSnapshot rebuilds a snapshot from its data; it fails with *InvalidError.
-func LoadSnapshot(d SnapshotData) (*Snapshot, error) {
-	s := NewSnapshot()
+	seen := make(map[string]bool, len(d.Resources))
 	for _, r := range d.Resources {
 		if err := r.Validate(); err != nil {
-			return nil, err
+			return err
 		}
-		s.resources[r.Kind][r.Name] = r
-	}
-	s.version = d.Version
-	s.rosterVersion = d.RosterVersion
-	s.previousRoster = d.PreviousRoster
-	if d.Views != nil {
-		s.views = d.Views
-	}
-	if len(d.Owners) == shardCount {
-		s.owners = d.Owners
+		id := string(r.Kind) + "/" + r.Name
+		if seen[id] {
+			return r.invalid("name", "declared twice")
+		}
+		seen[id] = true
 	}
-	s.index()
-	s.indexZones()
-	return s, nil
+	return nil
 }
 
-// Data returns the snapshot's form for storing and sending.
-func (s *Snapshot) Data() SnapshotData {
-	d := SnapshotData{
-		Version:        s.version,
-		RosterVersion:  s.rosterVersion,
-		PreviousRoster: s.previousRoster,
-		Views:          s.views,
-		Owners:         s.owners,
+// NewSnapshot indexes a configuration; it fails with *InvalidError.
+func NewSnapshot(d SnapshotData) (*Snapshot, error) {
+	if err := d.Validate(); err != nil {
+		return nil, err
 	}
-	for _, kind := range Kinds {
-		d.Resources = append(d.Resources, s.List(kind)...)
+	s := EmptySnapshot()
+	s.version = d.Version
+	s.resources = d.Resources
+	for i := range d.Resources {
+		s.index(&d.Resources[i])
 	}
-	return d
-}
-
-// Version returns the version of the last change in the snapshot.
-func (s *Snapshot) Version() Version { return s.version }
-
-// RosterVersion returns the version of the last change of votes.
-func (s *Snapshot) RosterVersion() Version { return s.rosterVersion }
-
-// Get returns a resource by kind and name.
-func (s *Snapshot) Get(kind Kind, name string) (Resource, bool) {
-	r, ok := s.resources[kind][name]
-	return r, ok
-}
-
-// List returns the resources of a kind, sorted by name.
-func (s *Snapshot) List(kind Kind) []Resource {
-	names := slices.Sorted(maps.Keys(s.resources[kind]))
-	list := make([]Resource, 0, len(names))
-	for _, name := range names {
-		list = append(list, s.resources[kind][name])
+	for _, routes := range s.domains {
+		slices.SortFunc(routes, func(a, b *Resource) int {
+			return cmp.Or(len(b.Route.Prefix)-len(a.Route.Prefix), strings.Compare(a.Name, b.Name))
+		})
 	}
-	return list
+	return s, nil
 }
 
-// Count returns the number of resources of a kind.
-func (s *Snapshot) Count(kind Kind) int { return len(s.resources[kind]) }
-
-// KeyByHash returns the key with the hash of a secret.
-func (s *Snapshot) KeyByHash(hash string) (Resource, bool) {
-	name, ok := s.keysByHash[hash]
-	if !ok {
-		return Resource{}, false
+// EmptySnapshot returns the configuration of a daemon that knows none, version 0.
+func EmptySnapshot() *Snapshot {
+	return &Snapshot{
+		teams: make(map[string]*Team), services: make(map[string]*Service),
+		domains: make(map[string][]*Resource), keys: make(map[string]string),
 	}
-	return s.resources[KindKey][name], true
 }
 
-// Match returns the route of a request; the longest path wins.
-func (s *Snapshot) Match(method, path string) (Resource, bool) {
-	for _, r := range s.routes {
-		if r.Route.Method == method && pathMatches(r.Route.Path, path) {
-			return r, true
+func (s *Snapshot) index(r *Resource) {
+	switch r.Kind {
+	case KindTeam:
+		s.teams[r.Name] = r.Team
+		for _, key := range r.Team.Keys {
+			s.keys[key] = r.Name
 		}
+	case KindService:
+		s.services[r.Name] = r.Service
+	case KindRoute:
+		domain := strings.ToLower(r.Route.Domain)
+		s.domains[domain] = append(s.domains[domain], r)
+	case KindLimits:
+		s.limits = *r.Limits
 	}
-	return Resource{}, false
-}
-
-func pathMatches(prefix, path string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
 }
 
-// Roster returns the votes: host name to incarnation.
-func (s *Snapshot) Roster() map[string]string {
-	roster := make(map[string]string, len(s.resources[KindHost]))
-	for name, r := range s.resources[KindHost] {
-		roster[name] = r.Host.Incarnation
-	}
-	return roster
+// Data returns the snapshot's form for sending.
+func (s *Snapshot) Data() SnapshotData {
+	return SnapshotData{Version: s.version, Resources: s.resources}
 }
 
-// PreviousRoster returns the votes before the last roster change.
-func (s *Snapshot) PreviousRoster() map[string]string { return s.previousRoster }
-
-// View returns the hosts of a service.
-func (s *Snapshot) View(service string) View { return s.views[service] }
+// Version returns the configuration's version, 0 if none is known.
+func (s *Snapshot) Version() Version { return s.version }
 
-// Host returns a roster entry.
-func (s *Snapshot) Host(name string) (Host, bool) {
-	r, ok := s.resources[KindHost][name]
+// Team returns a team by name.
+func (s *Snapshot) Team(name string) (Team, bool) {
+	team, ok := s.teams[name]
 	if !ok {
-		return Host{}, false
+		return Team{}, false
 	}
-	return *r.Host, true
+	return *team, true
 }
 
-// ChangesVotes reports whether the change adds, removes or replaces a vote.
-func (s *Snapshot) ChangesVotes(c Change) bool {
-	for _, m := range c.Mutations {
-		if m.Resource.Kind != KindHost {
-			continue
-		}
-		old, ok := s.Host(m.Resource.Name)
-		if m.Delete || !ok || old.Incarnation != m.Resource.Host.Incarnation {
-			return true
-		}
-	}
-	return false
+// TeamOfKey returns the name of the team that holds a key.
+func (s *Snapshot) TeamOfKey(key string) (string, bool) {
+	team, ok := s.keys[key]
+	return team, ok
 }
 
-// Check reports the first mutation that does not apply, as *ConflictError or
-// *InvalidError.
-func (s *Snapshot) Check(c Change) error {
-	for _, m := range c.Mutations {
-		current := s.resources[m.Resource.Kind][m.Resource.Name]
-		if current.Version != m.Replace {
-			return &ConflictError{
-				Kind: m.Resource.Kind, Name: m.Resource.Name,
-				Replace: m.Replace, Current: current.Version, Actor: current.Actor,
-			}
-		}
-		if err := s.checkReferences(c, m); err != nil {
-			return err
-		}
-	}
-	return nil
+// HoldsKey reports whether a team holds a key with that mark.
+func (s *Snapshot) HoldsKey(team string, mark uint64) bool {
+	t, ok := s.teams[team]
+	return ok && slices.ContainsFunc(t.Keys, func(key string) bool { return KeyMark(key) == mark })
 }
 
-func (s *Snapshot) checkReferences(c Change, m Mutation) error {
-	if m.Delete || m.Resource.Kind != KindKey {
-		return nil
-	}
-	team := m.Resource.Key.Team
-	if _, ok := s.resources[KindTeam][team]; ok || c.writes(KindTeam, team) {
-		return nil
-	}
-	return m.Resource.invalid("team", "team "+team+" is not declared")
+// KeyMark tells a team's keys apart without naming them.
+func KeyMark(key string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	return h.Sum64()
 }
 
-func (c Change) writes(kind Kind, name string) bool {
-	return slices.ContainsFunc(c.Mutations, func(m Mutation) bool {
-		return !m.Delete && m.Resource.Kind == kind && m.Resource.Name == name
-	})
-}
+// HasTeams reports whether requests need keys at all.
+func (s *Snapshot) HasTeams() bool { return len(s.teams) > 0 }
 
-// With returns the snapshot after the next change of the log. It panics if the
-// change is not the next one, since a daemon never goes back or skips a version.
-func (s *Snapshot) With(c Change) *Snapshot {
-	if c.Version != s.version+1 {
-		panic("catkinrun: change out of order")
-	}
-	next := *s
-	next.version = c.Version
-	next.resources = maps.Clone(s.resources)
-	if s.ChangesVotes(c) {
-		next.previousRoster = s.Roster()
-		next.rosterVersion = c.Version
+// Limits returns what callers may send; zero values mean no limit.
+func (s *Snapshot) Limits() Limits { return s.limits }
+
+// Match returns the route of a request: of the domain's routes the one with the
+// longest prefix.
+func (s *Snapshot) Match(domain, path string) (*Resource, bool) {
+	routes, ok := s.domains[domain]
+	if !ok {
+		routes = s.domains[strings.ToLower(withoutPort(domain))]
 	}
-	touched := make(map[Kind]bool)
-	for _, m := range c.Mutations {
-		kind := m.Resource.Kind
-		if !touched[kind] {
-			next.resources[kind] = maps.Clone(s.resources[kind])
-			touched[kind] = true
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Route.Prefix) {
+			return r, true
 		}
-		next.apply(c, m)
 	}
-	if touched[KindKey] || touched[KindRoute] {
-		next.index()
-	}
-	if touched[KindHost] {
-		next.views = s.nextViews(&next, c)
-		next.owners = s.nextOwners(&next)
-		next.indexZones()
-	}
-	return &next
-}
-
-func (s *Snapshot) apply(c Change, m Mutation) {
-	if m.Delete {
-		delete(s.resources[m.Resource.Kind], m.Resource.Name)
-		return
-	}
-	r := m.Resource
-	r.Version = c.Version
-	r.Actor = c.Actor
-	s.resources[r.Kind][r.Name] = r
+	return nil, false
 }
 
-func (s *Snapshot) index() {
-	s.keysByHash = make(map[string]string, len(s.resources[KindKey]))
-	for name, r := range s.resources[KindKey] {
-		s.keysByHash[r.Key.Hash] = name
-	}
-	s.routes = s.List(KindRoute)
-	slices.SortStableFunc(s.routes, func(a, b Resource) int {
-		return len(b.Route.Path) - len(a.Route.Path)
-	})
+func withoutPort(domain string) string {
+	host, _, _ := strings.Cut(domain, ":")
+	return host
 }
--- a/store.go
+++ b/store.go
@@ -1,52 +1,57 @@
 package catkinrun
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
-// Revision counts the writes to one table row. The absent row has revision 0.
+// Revision is a place in the store's order of transactions. The absent row has
+// revision 0.
 type Revision uint64
 
-// Row is one row of the platform's table.
+// Row is one row of a table of the platform's store.
 type Row struct {
-	Key      string   `cbor:"key" json:"key"`
-	Value    []byte   `cbor:"value" json:"value"`
-	Revision Revision `cbor:"revision" json:"revision"`
+	Key      string
+	Value    []byte
+	Revision Revision
+	Deleted  bool // only in what Watch returns
+}
+
+// Page is rows of a table as of one revision.
+type Page struct {
+	Rows     []Row
+	Revision Revision      // of the store, when it answered
+	Now      time.Duration // the store's steady clock
 }
 
 // Check is a condition of a transaction: the row still has this revision.
 type Check struct {
-	Key      string   `json:"key"`
-	Revision Revision `json:"revision"`
+	Table, Key string
+	Revision   Revision
 }
 
 // Write sets a row, or deletes it if Delete is set.
 type Write struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty"`
-	Delete bool   `json:"delete,omitempty"`
+	Table, Key string
+	Value      []byte
+	Delete     bool
 }
 
 // Transaction applies all writes if every check holds, else none.
 type Transaction struct {
-	Checks []Check `json:"checks"`
-	Writes []Write `json:"writes"`
-}
-
-// Table is the platform's transactional table.
-type Table interface {
-	// Get returns the row; an absent row has revision 0 and no error.
-	// It fails with *StoreError when the platform does not answer.
-	Get(ctx context.Context, key string) (Row, error)
-	// Scan returns up to limit rows with the prefix and a key above after, in key order.
-	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
-	// Commit applies the transaction. It fails with *CheckError if a check did
-	// not hold, and with *StoreError if the result is unknown.
-	Commit(ctx context.Context, t Transaction) error
+	Checks []Check
+	Writes []Write
 }
 
-// ObjectStore is the platform's store of whole objects.
-type ObjectStore interface {
-	// PutObject stores body under name, replacing what was there.
-	PutObject(ctx context.Context, name string, body []byte) error
-	// GetObject returns the object, or *NotFoundError.
-	GetObject(ctx context.Context, name string) ([]byte, error)
+// Store is the platform's transactional table service.
+type Store interface {
+	// List returns all rows of a table. It fails with *StoreError.
+	List(ctx context.Context, table string) (Page, error)
+	// Watch waits until a row of the table has changed after a revision, or until wait
+	// is over, and returns the changed rows. It fails with *HistoryError if the store no
+	// longer knows what came after that revision, and with *StoreError.
+	Watch(ctx context.Context, table string, after Revision, wait time.Duration) (Page, error)
+	// Commit applies the transaction and returns its revision. It fails with *CheckError
+	// if a check did not hold, and with *StoreError if the result is unknown.
+	Commit(ctx context.Context, t Transaction) (Page, error)
 }
