--- a/broker/broker.go
+++ b/broker/broker.go
@@ -67,13 +67,14 @@
 	table   string
 	self    Owner
 
-	mu        sync.Mutex
-	owner     Owner
-	votes     map[string]time.Time // last Ask of each host under this epoch
-	heldSince time.Time            // since when a majority has asked without a gap
-	dealing   bool
-	buckets   map[string]*bucket
-	failedAt  time.Time // since when the owner does not answer this daemon, zero if it does
+	mu         sync.Mutex
+	owner      Owner
+	votes      map[string]time.Time // last Ask of each host under this epoch
+	heldSince  time.Time            // since when a majority has asked without a gap
+	dealing    bool
+	dealtSince time.Time // when dealing began under this epoch
+	buckets    map[string]*bucket
+	failedAt   time.Time // since when the owner does not answer this daemon, zero if it does
 }
 
 // New returns a broker for the daemon that self describes; the owner's row lies in table.
@@ -161,7 +162,7 @@
 func (b *Broker) dealLocked(now time.Time, team catkinrun.Team, want Want) float64 {
 	own, ok := b.buckets[want.Team]
 	if !ok {
-		own = &bucket{filledAt: now}
+		own = &bucket{filledAt: b.dealtSince} // nobody has dealt what has been earned since then
 		b.buckets[want.Team] = own
 	}
 	own.fill(now, DealtPart*team.Rate, DealtPart*team.Burst)
@@ -184,7 +185,8 @@
 		b.heldSince = now
 	}
 	if !b.dealing && now.Sub(b.heldSince) >= voteLife {
-		b.dealing = true
+		b.dealing, b.dealtSince = true, now
+		b.buckets = make(map[string]*bucket)
 		b.log.WithField("epoch", b.owner.Epoch).Info("broker: dealing tokens")
 	}
 }
@@ -217,15 +219,20 @@
 // implements suture.Service.
 func (b *Broker) Serve(ctx context.Context) error {
 	for {
-		if b.mustClaim() {
-			b.claim(ctx)
-		}
+		b.Look(ctx, true)
 		if err := b.clock.Wait(ctx, lookEvery); err != nil {
 			return err
 		}
 	}
 }
 
+// Look claims the ownership if this daemon is the one to do so and the store is there.
+func (b *Broker) Look(ctx context.Context, reachable bool) {
+	if reachable && b.mustClaim() {
+		b.claim(ctx)
+	}
+}
+
 // mustClaim reports whether this daemon is the one to replace the owner: the first
 // host by name weight at once, any other one after a while.
 func (b *Broker) mustClaim() bool {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/declarer"
 	"github.com/catkinrun/catkinrun/loader"
 )
@@ -44,9 +45,15 @@
 	var settings *loader.FileError
 	var declaration *declarer.FileError
 	var usage *UsageError
+	var conflict *catkinrun.ConflictError
+	var unknown *UnknownResultError
 	switch {
 	case err == nil:
 		return exitOK
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.As(err, &unknown):
+		return exitUnknown
 	case errors.As(err, &settings), errors.As(err, &declaration), errors.As(err, &usage):
 		return exitUsage
 	}
@@ -68,7 +75,7 @@
 		Use:   "catkinrun",
 		Short: "Overload control for service call graphs",
 		Long: `Catkinrun runs one daemon beside each backend server. Operators declare teams,
-keys and routes through any daemon's operator listener and watch changes come into force.
+services and routes, which the platform's store keeps, and watch changes come into force.
 
 Exit status: 0 done, 1 failed, 2 bad command line, settings or declarations,
 3 conflict with another operator's change, 4 result unknown.`,
@@ -84,7 +91,7 @@
 
 // commands lists the subcommands; a new one is added here only.
 var commands = []func() *cobra.Command{
-	newDaemon, newValidate,
+	newDaemon, newApply, newValidate, newGet, newWatch, newKey, newStatus, newExplain,
 }
 
 func noArgs(c *cobra.Command, args []string) error { return usage(cobra.NoArgs(c, args)) }
--- /dev/null
+++ b/configurer/seed_test.go
@@ -0,0 +1,10 @@
+package configurer_test
+
+import "flag"
+
+// A fixed seed gives the same verdict on every run; -rapid.seed sets another.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,7 +94,7 @@
 // build makes the parts, each with what it depends on.
 func (d *Daemon) build() {
 	s := d.settings
-	self := catkinrun.Member{Host: s.Host, Zone: s.Zone, Peer: s.Listen.Peer, Incarnation: newIncarnation()}
+	self := catkinrun.Member{Host: s.Host, Zone: s.Zone, Peer: s.Listen.Peer, Operator: s.Listen.Operator, Incarnation: newIncarnation()}
 	peers := exchanger.New(dialTimeout, peerIdle, peerConnections)
 	d.peers = messenger.New(&http.Client{Transport: peers.Transport()})
 	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdle, storeConnections)}, time.Duration(s.Times.Store))
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -171,4 +171,3 @@
 	}
 	g.count(stage, "answered", g.since(c))
 }
-
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -23,8 +23,8 @@
 	usedAt     time.Time
 }
 
-func newBucket(now time.Time) *bucket {
-	return &bucket{filledAt: now, measuredAt: now, usedAt: now}
+func newBucket(startedAt, now time.Time) *bucket {
+	return &bucket{filledAt: startedAt, measuredAt: now, usedAt: now}
 }
 
 // fill adds what the even part has earned.
@@ -54,6 +54,9 @@
 	b.goodTill = goodTill
 }
 
+// rest forgets the demand of a team without requests; its even part goes on earning.
+func (b *bucket) rest() { b.demand, b.arrivals, b.waiting, b.dealt = 0, 0, 0, 0 }
+
 // want makes a team's line of an Ask: what is held goes back, so that what has aged
 // here is dealt anew, and all that is expected until the next answer is asked for.
 func (b *bucket) want(name string, epoch catkinrun.Revision, now time.Time) broker.Want {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -62,6 +62,8 @@
 	host    string
 	lacking chan struct{}
 
+	startedAt time.Time
+
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	dealt   chan struct{} // closed when an Answer has come
@@ -71,7 +73,7 @@
 func New(teams broker.Teams, members Members, asker Asker, clock catkinrun.Clock, log logrus.FieldLogger, host string) *Limiter {
 	return &Limiter{
 		teams: teams, members: members, asker: asker, clock: clock, log: log, host: host,
-		lacking: make(chan struct{}, 1), buckets: make(map[string]*bucket), dealt: make(chan struct{}),
+		startedAt: clock.Now(), lacking: make(chan struct{}, 1), buckets: make(map[string]*bucket), dealt: make(chan struct{}),
 	}
 }
 
@@ -114,7 +116,7 @@
 	defer l.mu.Unlock()
 	b, ok := l.buckets[name]
 	if !ok {
-		b = newBucket(l.clock.Now())
+		b = newBucket(l.startedAt, l.clock.Now()) // the even part has been earned since then
 		l.buckets[name] = b
 	}
 	b.arrivals++
@@ -190,7 +192,7 @@
 	ask := &broker.Ask{Host: l.host, Epoch: owner.Epoch}
 	for name, b := range l.buckets {
 		if now.Sub(b.usedAt) > idleTime {
-			delete(l.buckets, name)
+			b.rest()
 			continue
 		}
 		ask.Wants = append(ask.Wants, b.want(name, owner.Epoch, now))
--- a/member.go
+++ b/member.go
@@ -18,6 +18,7 @@
 	Host        string  `json:"host"`
 	Zone        string  `json:"zone"`
 	Peer        string  `json:"peer"`        // IP and port for other daemons
+	Operator    string  `json:"operator"`    // IP and port for operators' questions
 	Incarnation string  `json:"incarnation"` // of the daemon
 	Leaving     bool    `json:"leaving,omitempty"`
 	Server      *Server `json:"server,omitempty"` // nil if none has announced itself
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -26,12 +27,12 @@
 	Name     string
 	URLs     []string // of daemons' caller listeners, used in turn
 	Method   string
+	Domain   string // Host header
 	Path     string
 	Key      string
 	Rate     float64 // requests per second
 	Duration time.Duration
 	Retries  int           // further tries of a caller whose request failed
-	Dedupe   bool          // send an Idempotency-Key
 	Patience time.Duration // longest wait for one answer
 	Body     string
 }
@@ -149,9 +150,9 @@
 	if c.settings.Key != "" {
 		request.Header.Set("Authorization", "Bearer "+c.settings.Key)
 	}
-	if c.settings.Dedupe {
-		request.Header.Set("Idempotency-Key", run)
-	}
+	request.Host = c.settings.Domain
+	request.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", run, turn))
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.settings.Patience.Milliseconds(), 10))
 	response, err := c.client.Do(request)
 	if err != nil {
 		return try{reason: "no-answer"}
