Descriptors run out no more; pressure along the learned call graph refuses at the entry

Ruled out: dead daemons (none restarted), connection caps of the servers. Change: a listener with many open connections closes each after its answer; only a refused connection says that nobody is there; a request whose earlier attempt may have run is never said not to have run. Pressure: each admission integrates its load's excess, answers carry it back along the calls that the learner has seen, and entries refuse the least urgent new requests.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -45,6 +45,7 @@
 	inUse    int
 	queue    queue
 	services map[string]time.Duration // mean service time by route
+	pressure pressure
 	counts   Counts
 }
 
@@ -104,6 +105,7 @@
 func (a *Admitter) enter(e catkinrun.Envelope) (*waiter, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pressure.follow(a.clock.Now(), a.loadLocked())
 	if expected := a.services[e.Route]; e.TimeLeft < expected/2 {
 		// Without runs nothing else would correct an estimate from a slow time.
 		a.services[e.Route] = time.Duration(estimateDecay * float64(expected))
@@ -195,6 +197,7 @@
 }
 
 func (a *Admitter) releaseLocked() {
+	a.pressure.follow(a.clock.Now(), a.loadLocked())
 	a.inUse--
 	a.fillLocked()
 }
@@ -210,6 +213,14 @@
 	return float64(a.inUse+a.queue.size) / float64(a.capacityLocked())
 }
 
+// Pressure returns the part of new requests that the entries should not send here.
+func (a *Admitter) Pressure() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pressure.follow(a.clock.Now(), a.loadLocked())
+	return a.pressure.part
+}
+
 // Counts returns a copy of the totals.
 func (a *Admitter) Counts() Counts {
 	a.mu.Lock()
--- /dev/null
+++ b/admitter/pressure.go
@@ -0,0 +1,36 @@
+package admitter
+
+import "time"
+
+const (
+	// pressureGain is the part of the new requests by which the pressure rises in a second
+	// for each load of excess. A request and its calls take up to a second, so a higher
+	// gain would swing.
+	pressureGain = 0.6
+	// targetLoad is the load at which the pressure neither rises nor falls: all slots in
+	// use and a short queue.
+	targetLoad = 1.0
+	// mostRise and mostFall bound the excess that counts, so that a long queue does not
+	// close the way at once and an idle second does not open it whole.
+	mostRise = 1.0
+	mostFall = 0.25
+	// maxPressure leaves a few requests that find out whether there is room.
+	maxPressure = 0.95
+)
+
+// pressure is the part of new requests that the entries should not send here. It is
+// the integral of the load's excess over time.
+type pressure struct {
+	part float64
+	at   time.Time
+}
+
+// follow brings the pressure up to now, given the load since the last time.
+func (p *pressure) follow(now time.Time, load float64) {
+	if p.at.IsZero() {
+		p.at = now
+	}
+	excess := min(max(load-targetLoad, -mostFall), mostRise)
+	p.part = min(max(0, p.part+pressureGain*excess*now.Sub(p.at).Seconds()), maxPressure)
+	p.at = now
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,8 @@
 	"github.com/catkinrun/catkinrun/filterer"
 	"github.com/catkinrun/catkinrun/follower"
 	"github.com/catkinrun/catkinrun/journaler"
+	"github.com/catkinrun/catkinrun/learner"
+	"github.com/catkinrun/catkinrun/leveler"
 	"github.com/catkinrun/catkinrun/limiter"
 	"github.com/catkinrun/catkinrun/loader"
 	"github.com/catkinrun/catkinrun/locator"
@@ -111,7 +113,7 @@
 	d.admitter = admitter.New(firstSlots, d.clock, d.log)
 	parts := &filterer.Parts{
 		Self: self, Service: s.Service, Server: s.Server, Dialect: platform.Dialect{},
-		Configurer: d.configurer, Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
+		Configurer: d.configurer, Learner: learner.New(), Leveler: leveler.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
 		Budget: retrier.New(float64(s.Retries), d.locator.Count), Registrar: d.registrar, Admitter: d.admitter, Syncer: d.syncer,
 		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdle, serverConnections),
 		Clock: d.clock, Journal: d.journal,
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,32 @@
 	name   string
 	net    net.Listener
 	server *http.Server
+	open   atomic.Int64 // connections
+}
+
+// crowdPart is the part of the process's descriptors, one in so many, that the open
+// connections of a listener may take before each is closed after its answer. Callers
+// that try again open a new one each time and leave the old one open.
+const crowdPart = 8
+
+// note counts the open connections.
+func (l *listener) note(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		l.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		l.open.Add(-1)
+	}
+}
+
+// relieve asks for the end of a connection with its answer while too many are open.
+func (l *listener) relieve(next http.Handler, crowd int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.open.Load() > crowd {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Serve takes requests until the server is closed. It implements suture.Service.
@@ -77,10 +104,11 @@
 		if err != nil {
 			return &ListenError{Name: "listen." + p.name, Cause: err}
 		}
-		server := &http.Server{
-			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: listenIdle, MaxHeaderBytes: maxHeader,
+		l := &listener{name: p.name, net: socket}
+		l.server = &http.Server{
+			Handler: l.relieve(p.handler, int64(d.settings.Files/crowdPart)), ConnState: l.note, ReadHeaderTimeout: headerTimeout, IdleTimeout: listenIdle, MaxHeaderBytes: maxHeader,
 		}
-		d.listeners = append(d.listeners, &listener{name: p.name, net: socket, server: server})
+		d.listeners = append(d.listeners, l)
 	}
 	return nil
 }
--- a/envelope.go
+++ b/envelope.go
@@ -33,6 +33,8 @@
 	ReasonLeaving     Reason = "leaving"     // the backend server takes no new work
 	ReasonRejected    Reason = "rejected"    // the backend server did not run the request
 	ReasonUnreachable Reason = "unreachable" // the host could not be reached
+	ReasonClosed      Reason = "closed"      // no process takes connections at the address
+	ReasonLocal       Reason = "local"       // this daemon lacks what it needs to send
 	ReasonBroken      Reason = "broken"      // the answer broke off or was not the server's
 	ReasonBadRequest  Reason = "bad-request" // malformed or over a limit
 	ReasonPeer        Reason = "peer"        // the peer did not prove itself
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -11,8 +11,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/dialer"
 )
@@ -148,10 +151,19 @@
 	if !watch.Unsent() {
 		return broken(ctx, err)
 	}
-	return &catkinrun.Refusal{
+	refusal := &catkinrun.Refusal{
 		Status: http.StatusServiceUnavailable, Reason: catkinrun.ReasonUnreachable, Outcome: catkinrun.NotRun,
-		Detail: "the host could not be reached: " + strconv.Quote(err.Error()),
+		Detail: "the request was not sent: " + strconv.Quote(err.Error()),
 	}
+	switch {
+	case ctx.Err() != nil:
+		refusal.Status, refusal.Reason = http.StatusGatewayTimeout, catkinrun.ReasonDeadline
+	case errors.Is(err, syscall.ECONNREFUSED):
+		refusal.Reason = catkinrun.ReasonClosed
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
+		refusal.Reason = catkinrun.ReasonLocal
+	}
+	return refusal
 }
 
 // broken tells an answer that broke off from one that did not come in time.
--- a/filter.go
+++ b/filter.go
@@ -33,13 +33,14 @@
 
 // Answer is a backend server's answer on its way back.
 type Answer struct {
-	Status  int
-	Header  http.Header
-	Body    []byte        // whole body, if Stream is nil
-	Stream  io.ReadCloser // body that is still arriving
-	Load    float64       // load of the server's admission, per slot
-	Version Version       // configuration of the serving daemon
-	Failed  bool          // the server says that it failed
+	Status   int
+	Header   http.Header
+	Body     []byte        // whole body, if Stream is nil
+	Stream   io.ReadCloser // body that is still arriving
+	Load     float64       // load of the server's admission, per slot
+	Pressure float64       // part of the route's new requests that should not be sent
+	Version  Version       // configuration of the serving daemon
+	Failed   bool          // the server says that it failed
 }
 
 // RequestFacts are what a caller says of its request in headers.
--- a/filterer/admit.go
+++ b/filterer/admit.go
@@ -25,8 +25,10 @@
 	p.Admitter.SetServer(server.Slots, server.Cold > 0)
 	enteredAt := p.Clock.Now()
 	if err := p.Admitter.Acquire(ctx, c.Envelope); err != nil {
-		f.log(c, server, "admit: "+asRefusal(err).Detail)
-		return err
+		refusal := *asRefusal(err)
+		refusal.Pressure = f.pressure(c.Envelope.Route)
+		f.log(c, server, "admit: "+refusal.Detail)
+		return &refusal
 	}
 	startedAt := p.Clock.Now()
 	c.Envelope.TimeLeft -= startedAt.Sub(enteredAt)
@@ -39,9 +41,20 @@
 		p.Admitter.Release(c.Envelope.Route, p.Clock.Now().Sub(startedAt))
 	})
 	c.Answer.Load = p.Admitter.Load()
+	c.Answer.Pressure = f.pressure(c.Envelope.Route)
 	return nil
 }
 
+// pressure returns the part of a route's new requests that should not be sent: for want
+// of room here, or at the servers that its requests call.
+func (f *admit) pressure(route string) float64 {
+	most := f.parts.Admitter.Pressure()
+	for _, call := range f.parts.Learner.Calls(route) {
+		most = max(most, f.parts.Leveler.Pressure(call))
+	}
+	return most
+}
+
 func (f *admit) log(c *catkinrun.Call, server catkinrun.Server, message string) {
 	f.parts.Journal.Failed(logrus.Fields{
 		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "class": c.Envelope.Class(),
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -23,6 +23,8 @@
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
+	end := p.Learner.Begin(c.Envelope.Route, p.Clock.Now().Add(c.Envelope.TimeLeft))
+	defer end()
 	request := exchanger.Request(ctx, c, p.Server)
 	p.Dialect.TellServer(request.Header, catkinrun.ServerFacts{
 		ID: c.Envelope.Request, TimeLeft: c.Envelope.TimeLeft, Instance: server.ID, Caller: c.Envelope.Caller, Team: c.Envelope.Team,
@@ -30,7 +32,7 @@
 	exchange, err := p.Backend.Do(request)
 	if err != nil {
 		f.log(c, server, 0, asRefusal(err).Detail)
-		if asRefusal(err).Reason == catkinrun.ReasonUnreachable && ctx.Err() == nil {
+		if asRefusal(err).Reason == catkinrun.ReasonClosed {
 			p.Registrar.Refused(server.ID, asRefusal(err).Detail)
 		}
 		return err
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -21,6 +21,7 @@
 	OutcomeHeader  = "Catkinrun-Outcome"  // on refusals
 	ReasonHeader   = "Catkinrun-Reason"   // on refusals
 	loadHeader     = "Catkinrun-Load"     // daemon to daemon, in thousandths of the slots
+	pressureHeader = "Catkinrun-Pressure" // daemon to daemon, in thousandths
 	versionHeader  = "Catkinrun-Version"  // daemon to daemon
 	reachedHeader  = "Catkinrun-Reached"  // daemon to daemon, on refusals
 	failedHeader   = "Catkinrun-Failed"   // daemon to daemon
@@ -107,6 +108,7 @@
 func writeRefusalReport(h http.Header, r *catkinrun.Refusal, request string) {
 	h.Set(RequestHeader, request)
 	h.Set(loadHeader, strconv.Itoa(int(r.Load*loadScale)))
+	h.Set(pressureHeader, strconv.Itoa(int(r.Pressure*loadScale)))
 	if r.Reached {
 		h.Set(reachedHeader, "1")
 	}
@@ -130,7 +132,8 @@
 	refusal := &catkinrun.Refusal{
 		Status: a.Status, Reason: catkinrun.Reason(a.Header.Get(ReasonHeader)), Outcome: outcome, Detail: p.Detail,
 		Load: float64(number(a.Header, loadHeader)) / loadScale, Reached: a.Header.Get(reachedHeader) != "",
-		Version: catkinrun.Version(number(a.Header, versionHeader)),
+		Pressure: float64(number(a.Header, pressureHeader)) / loadScale,
+		Version:  catkinrun.Version(number(a.Header, versionHeader)),
 	}
 	if seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
 		refusal.RetryAfter = time.Duration(seconds * float64(time.Second))
@@ -142,6 +145,7 @@
 func writeReport(h http.Header, a *catkinrun.Answer, request string) {
 	h.Set(RequestHeader, request)
 	h.Set(loadHeader, strconv.Itoa(int(a.Load*loadScale)))
+	h.Set(pressureHeader, strconv.Itoa(int(a.Pressure*loadScale)))
 	if a.Failed {
 		h.Set(failedHeader, "1")
 	}
@@ -150,6 +154,7 @@
 // readReport takes it out again.
 func readReport(a *catkinrun.Answer) {
 	a.Load = float64(number(a.Header, loadHeader)) / loadScale
+	a.Pressure = float64(number(a.Header, pressureHeader)) / loadScale
 	a.Version = catkinrun.Version(number(a.Header, versionHeader))
 	a.Failed = a.Header.Get(failedHeader) != ""
 	dropOwnHeaders(a.Header)
--- a/filterer/retry.go
+++ b/filterer/retry.go
@@ -25,6 +25,7 @@
 func (f *retry) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	f.budget.Deposit(c.Envelope.Service)
 	reached := 0
+	var unknown *catkinrun.Refusal // of an earlier attempt that may have run
 	for {
 		err := next(ctx, c)
 		refusal := refusalOf(err)
@@ -33,14 +34,22 @@
 				return err
 			}
 			reached++
+			unknown = brokenAnswer("the server failed")
 			continue
 		}
 		if refusal.Reached {
 			reached++
 		}
-		if !f.again(ctx, c, refusal, reached) {
-			return err
+		if refusal.Outcome != catkinrun.NotRun {
+			unknown = refusal
 		}
+		if f.again(ctx, c, refusal, reached) {
+			continue
+		}
+		if unknown != nil {
+			return unknown // a last attempt that did not run takes nothing back
+		}
+		return err
 	}
 }
 
@@ -50,8 +59,7 @@
 	if c.Answer == nil || !c.Answer.Failed || c.Answer.Stream != nil {
 		return false
 	}
-	failed := &catkinrun.Refusal{Reason: catkinrun.ReasonBroken, Outcome: catkinrun.Unknown, Reached: true, Detail: "the server failed"}
-	if !f.again(ctx, c, failed, reached) {
+	if !f.again(ctx, c, brokenAnswer("the server failed"), reached) {
 		return false
 	}
 	c.Answer = nil
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -58,7 +58,7 @@
 // resultOf tells what a refusal says of the host.
 func resultOf(r *catkinrun.Refusal) router.Result {
 	switch r.Reason {
-	case catkinrun.ReasonUnreachable:
+	case catkinrun.ReasonUnreachable, catkinrun.ReasonClosed:
 		return router.Unreachable
 	case catkinrun.ReasonBroken, catkinrun.ReasonRejected:
 		return router.Failed
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -10,6 +10,8 @@
 	"github.com/catkinrun/catkinrun/configurer"
 	"github.com/catkinrun/catkinrun/exchanger"
 	"github.com/catkinrun/catkinrun/journaler"
+	"github.com/catkinrun/catkinrun/learner"
+	"github.com/catkinrun/catkinrun/leveler"
 	"github.com/catkinrun/catkinrun/limiter"
 	"github.com/catkinrun/catkinrun/registrar"
 	"github.com/catkinrun/catkinrun/retrier"
@@ -33,6 +35,8 @@
 	Server     string // address of the server beside this daemon, IP and port
 	Dialect    catkinrun.Dialect
 	Configurer *configurer.Configurer
+	Learner    *learner.Learner
+	Leveler    *leveler.Leveler
 	Limiter    *limiter.Limiter
 	Router     *router.Router
 	Budget     *retrier.Budget
@@ -57,6 +61,7 @@
 var Steps = []Step{
 	{"classify", "find the route, its service, its priority and its time limit", Caller, newClassify},
 	{"authenticate", "check the key and drop it", Caller, newAuthenticate},
+	{"shed", "refuse what servers further down have no room for", Caller, newShed},
 	{"limit", "hold the team to its rate", Caller, newLimit},
 	{"retry", "send again what cannot run twice, within the budget", Caller, newRetry},
 	{"route", "choose the host", Caller, newRoute},
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -70,8 +70,10 @@
 	return catkinrun.Member{}, false
 }
 
-func (d *daemon) Owner() broker.Owner                           { return d.broker.Owner() }
-func (d *daemon) Answered(epoch catkinrun.Revision, answered bool) { d.broker.Answered(epoch, answered) }
+func (d *daemon) Owner() broker.Owner { return d.broker.Owner() }
+func (d *daemon) Answered(epoch catkinrun.Revision, answered bool) {
+	d.broker.Answered(epoch, answered)
+}
 
 func (d *daemon) Ask(ctx context.Context, owner broker.Owner, ask *broker.Ask) (*broker.Answer, error) {
 	for _, other := range d.fleet.daemons {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -26,6 +26,7 @@
 	Times   Times  `yaml:"times"`
 	Retries int    `yaml:"retries"` // repeats per service and window, beyond the ratio, over all hosts
 	Memory  int    `yaml:"memory"`  // that the process may use, in MB
+	Files   int    `yaml:"files"`   // descriptors that the process may use
 	Log     Log    `yaml:"log"`
 }
 
@@ -58,6 +59,7 @@
 		},
 		Retries: 48,
 		Memory:  256,
+		Files:   1024,
 		Log:     Log{Level: "info"},
 	}
 }
@@ -129,6 +131,8 @@
 		return invalid("times.stop", `expected a duration of at least 1s, like "6s"`)
 	case s.Retries < 0:
 		return invalid("retries", "expected at least 0")
+	case s.Files < 256:
+		return invalid("files", "expected at least 256")
 	case s.Memory < 32:
 		return invalid("memory", "expected at least 32 MB")
 	}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -84,7 +84,7 @@
 
 func otherHostMayHelp(r *catkinrun.Refusal) bool {
 	switch r.Reason {
-	case catkinrun.ReasonUnreachable, catkinrun.ReasonLeaving, catkinrun.ReasonOverload, catkinrun.ReasonStale:
+	case catkinrun.ReasonUnreachable, catkinrun.ReasonClosed, catkinrun.ReasonLeaving, catkinrun.ReasonOverload, catkinrun.ReasonStale:
 		return true
 	}
 	return false
