Every attempt's pressure counts; teams' priority, then the routes'; calls may queue longer

Cause: dispatch's queue was full (load 1.9) while the entries held its pressure at 0.2 to 0.3, since the last refusal, 'no host left', had none and hid the attempts' own. Ruled out: too low a gain (pressures of the callers further up reached 0.85). Change: the pressure of each attempt counts; a failed second try returns the first host's refusal; a team's priority orders before the route's and no longer replaces it; calls of running requests may wait four per slot.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,6 +26,9 @@
 	// callPatience is the part of a call's time left for which it may wait: refusing it
 	// wastes the work of the request that made it.
 	callPatience = 0.5
+	// callQueue is the number of calls per slot that may wait; of other requests one may.
+	// Calls are short, and their patience bounds the wait.
+	callQueue = 4
 	// serviceSmoothing weighs a new service time against the mean.
 	serviceSmoothing = 0.1
 	// estimateDecay lowers an estimated service time at each refusal that rests on it.
@@ -149,6 +152,9 @@
 func (a *Admitter) trimLocked() {
 	for a.queue.size > max(1, a.slots) {
 		w := a.queue.last()
+		if w.envelope.Call && a.queue.size <= callQueue*a.slots {
+			return
+		}
 		a.queue.remove(w)
 		w.decided <- a.refuseLocked(w.envelope, catkinrun.ReasonOverload, "the queue is full")
 	}
--- a/envelope.go
+++ b/envelope.go
@@ -43,9 +43,9 @@
 // Priority orders requests under overload: 0 is the most urgent.
 type Priority int
 
-// PriorityCount is the number of priorities that are told apart; those above count
-// as the last.
-const PriorityCount = 8
+// PriorityCount is the number of priorities, of teams and of routes, that are told
+// apart; those above count as the last.
+const PriorityCount = 6
 
 // UnmarshalYAML reads a priority and names the line of a bad one.
 func (p *Priority) UnmarshalYAML(node *yaml.Node) error {
@@ -58,7 +58,7 @@
 }
 
 // ClassCount is the number of classes into which admission sorts requests.
-const ClassCount = PriorityCount + 1
+const ClassCount = 1 + PriorityCount*PriorityCount
 
 // Envelope is what daemons know of a request. It travels from daemon to daemon
 // and never to a caller or a backend server.
@@ -70,8 +70,9 @@
 	KeyMark    uint64        `cbor:"5,keyasint,omitempty"` // of the caller's key, 0 without one
 	Route      string        `cbor:"6,keyasint"`
 	Service    string        `cbor:"7,keyasint"`
-	Version    Version       `cbor:"8,keyasint"` // configuration that admitted the request
-	Priority   Priority      `cbor:"9,keyasint"`
+	Version    Version       `cbor:"8,keyasint"`            // configuration that admitted the request
+	Priority   Priority      `cbor:"9,keyasint"`            // of the route
+	Urgency    Priority      `cbor:"15,keyasint"`           // of the team; the route's if the team has none
 	Call       bool          `cbor:"10,keyasint,omitempty"` // made by a backend server while it works on a request
 	Idempotent bool          `cbor:"11,keyasint,omitempty"`
 	TimeLeft   time.Duration `cbor:"12,keyasint"` // when sent
@@ -80,12 +81,13 @@
 }
 
 // Class is the request's place under overload: 0 for calls of running requests, whose
-// refusal would waste the work done so far, then the priorities.
+// refusal would waste the work done so far, then the teams' priorities, and within
+// each the routes'.
 func (e Envelope) Class() int {
 	if e.Call {
 		return 0
 	}
-	return 1 + min(int(e.Priority), PriorityCount-1)
+	return 1 + PriorityCount*min(int(e.Urgency), PriorityCount-1) + min(int(e.Priority), PriorityCount-1)
 }
 
 // Validate checks a decoded envelope; it fails with *InvalidError.
@@ -93,7 +95,7 @@
 	switch {
 	case e.Request == "" || len(e.Request) > maxNameLength:
 		return &InvalidError{Where: "envelope", Field: "request", Reason: "missing or too long"}
-	case e.Priority < 0:
+	case e.Priority < 0 || e.Urgency < 0:
 		return &InvalidError{Where: "envelope", Field: "priority", Reason: "negative"}
 	case e.TimeLeft <= 0:
 		return &InvalidError{Where: "envelope", Field: "time-left", Reason: "expected more than 0"}
--- a/filterer/authenticate.go
+++ b/filterer/authenticate.go
@@ -29,7 +29,7 @@
 		c.Envelope.Team = name
 		c.Envelope.KeyMark = catkinrun.KeyMark(secret)
 		if team, _ := snapshot.Team(name); team.Priority != nil {
-			c.Envelope.Priority = *team.Priority
+			c.Envelope.Urgency = *team.Priority
 		}
 	case !c.Route.Open:
 		return refuse(http.StatusUnauthorized, catkinrun.ReasonKey, "the key is unknown or withdrawn")
--- a/filterer/classify.go
+++ b/filterer/classify.go
@@ -40,7 +40,7 @@
 	e.Caller = f.callerService()
 	e.Version = snapshot.Version()
 	e.Route = r.Name
-	e.Priority = r.Route.Priority
+	e.Priority, e.Urgency = r.Route.Priority, r.Route.Priority
 	e.Idempotent = r.Route.Idempotent
 	e.Service = f.splits.choose(r.Name, r.Route.Targets)
 	timeLeft := time.Duration(r.Route.Timeout)
--- a/filterer/retry.go
+++ b/filterer/retry.go
@@ -25,7 +25,7 @@
 func (f *retry) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	f.budget.Deposit(c.Envelope.Service)
 	reached := 0
-	var unknown *catkinrun.Refusal // of an earlier attempt that may have run
+	var unknown, last *catkinrun.Refusal // of an attempt that may have run, and of the last host
 	for {
 		err := next(ctx, c)
 		refusal := refusalOf(err)
@@ -44,10 +44,14 @@
 			unknown = refusal
 		}
 		if f.again(ctx, c, refusal, reached) {
+			last = refusal
 			continue
 		}
-		if unknown != nil {
+		switch {
+		case unknown != nil:
 			return unknown // a last attempt that did not run takes nothing back
+		case refusal.Reason == catkinrun.ReasonNoServer && last != nil:
+			return last // no other host was left to try
 		}
 		return err
 	}
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -7,17 +7,19 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/journaler"
+	"github.com/catkinrun/catkinrun/leveler"
 	"github.com/catkinrun/catkinrun/router"
 )
 
 type route struct {
 	router  *router.Router
+	leveler *leveler.Leveler
 	journal *journaler.Journal
 	clock   catkinrun.Clock
 }
 
 func newRoute(p *Parts) catkinrun.Filter {
-	return &route{router: p.Router, journal: p.Journal, clock: p.Clock}
+	return &route{router: p.Router, leveler: p.Leveler, journal: p.Journal, clock: p.Clock}
 }
 
 // unknownLoad says that no load was reported.
@@ -40,11 +42,15 @@
 	}
 	if err != nil {
 		refusal := asRefusal(err)
+		if refusal.Pressure > 0 {
+			f.leveler.Set(c.Envelope.Route, refusal.Pressure)
+		}
 		f.router.Ended(c.Host, resultOf(refusal), refusal.Load)
 		fields["reason"], fields["outcome"], fields["detail"], fields["load"] = refusal.Reason, refusal.Outcome, refusal.Detail, refusal.Load
 		f.journal.Failed(fields, "route: attempt failed")
 		return err
 	}
+	f.leveler.Set(c.Envelope.Route, c.Answer.Pressure)
 	result := router.Served
 	if c.Answer.Failed {
 		result = router.Failed
--- a/filterer/shed.go
+++ b/filterer/shed.go
@@ -34,15 +34,7 @@
 		refusal.RetryAfter = comeBack(c.Route)
 		return refusal
 	}
-	err := next(ctx, c)
-	if refusal := refusalOf(err); refusal != nil {
-		if refusal.Pressure > 0 {
-			p.Leveler.Set(route, refusal.Pressure)
-		}
-		return err
-	}
-	p.Leveler.Set(route, c.Answer.Pressure)
-	return nil
+	return next(ctx, c)
 }
 
 // comeBack returns the wait told to a caller that was refused for lack of room.
