An owner of rates that died is replaced, whoever comes next; a planned handover does not wait

Ruled out: admission (loads of 0.05 to 0.46). Change: an answer of another incarnation, or one that never deals, counts against the owner; the owner's next start claims at once; hosts take turns by weight; a successor asks the earlier owner to stop and need not wait if that one says so or its process has ended.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -224,7 +224,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.pressure.follow(a.clock.Now(), a.loadLocked())
-	return a.pressure.part
+	return a.pressure.now()
 }
 
 // Counts returns a copy of the totals.
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,12 @@
 	// juryLimit bounds the hosts whose Asks count, so that their number does not grow
 	// with the fleet.
 	juryLimit = 15
-	// silence is the time without an answer after which an owner is replaced.
+	// silence is the time without an answer after which the first host replaces the owner,
+	// and turn the time after which the next one does, in case the first is dead too.
 	silence = 700 * time.Millisecond
+	turn    = 300 * time.Millisecond
+	// unready is the time after which an owner that answers and does not deal is replaced.
+	unready = 5 * time.Second
 	// lookEvery is the time between two looks at the owner.
 	lookEvery = 250 * time.Millisecond
 )
@@ -57,6 +62,10 @@
 	Snapshot() *catkinrun.Snapshot
 }
 
+// Predecessor asks an earlier owner to stop, and reports whether it deals no more for
+// certain: it says so, or its process has ended.
+type Predecessor func(ctx context.Context, earlier Owner, epoch catkinrun.Revision) bool
+
 // Broker deals tokens if this daemon is the owner, and sees to it that there is one.
 type Broker struct {
 	store   catkinrun.Store
@@ -66,6 +75,9 @@
 	log     logrus.FieldLogger
 	table   string
 	self    Owner
+	stopped Predecessor
+
+	startedAt time.Time
 
 	mu         sync.Mutex
 	owner      Owner
@@ -74,13 +86,16 @@
 	dealing    bool
 	dealtSince time.Time // when dealing began under this epoch
 	buckets    map[string]*bucket
+	alone      bool      // no earlier owner deals any more
+	resigned   bool      // a later epoch exists, whose row has not come yet
 	failedAt   time.Time // since when the owner does not answer this daemon, zero if it does
+	unreadyAt  time.Time // since when it answers without dealing, zero if it deals
 }
 
 // New returns a broker for the daemon that self describes; the owner's row lies in table.
-func New(store catkinrun.Store, members Members, teams Teams, clock catkinrun.Clock, log logrus.FieldLogger, table string, self Owner) *Broker {
+func New(store catkinrun.Store, members Members, teams Teams, clock catkinrun.Clock, log logrus.FieldLogger, table string, self Owner, stopped Predecessor) *Broker {
 	return &Broker{
-		store: store, members: members, teams: teams, clock: clock, log: log, table: table, self: self,
+		store: store, members: members, teams: teams, clock: clock, log: log, table: table, self: self, stopped: stopped, startedAt: clock.Now(),
 		votes: make(map[string]time.Time), buckets: make(map[string]*bucket),
 	}
 }
@@ -107,8 +122,8 @@
 	}
 	owner.Epoch = row.Revision
 	b.owner = owner
-	b.failedAt, b.heldSince = time.Time{}, time.Time{}
-	b.dealing = false
+	b.failedAt, b.unreadyAt, b.heldSince = time.Time{}, time.Time{}, time.Time{}
+	b.dealing, b.alone, b.resigned = false, false, false
 	b.votes = make(map[string]time.Time)
 	b.buckets = make(map[string]*bucket)
 	b.log.WithFields(logrus.Fields{"owner": owner.Host, "epoch": owner.Epoch}).Info("broker: owner known")
@@ -121,16 +136,26 @@
 	return b.owner
 }
 
-// Answered notes whether the owner of an epoch answered an Ask of this daemon.
-func (b *Broker) Answered(epoch catkinrun.Revision, ok bool) {
+// Answered notes what the owner of an epoch said to an Ask of this daemon, nil if
+// nothing.
+func (b *Broker) Answered(epoch catkinrun.Revision, answer *Answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if epoch != b.owner.Epoch {
+		return
+	}
+	now := b.clock.Now()
+	note(&b.failedAt, now, answer == nil || answer.Incarnation != b.owner.Incarnation)
+	note(&b.unreadyAt, now, answer == nil || !answer.Ready)
+}
+
+// note keeps the time since which something holds, zero if it does not.
+func note(since *time.Time, now time.Time, holds bool) {
 	switch {
-	case epoch != b.owner.Epoch:
-	case ok:
-		b.failedAt = time.Time{}
-	case b.failedAt.IsZero():
-		b.failedAt = b.clock.Now()
+	case !holds:
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
 	}
 }
 
@@ -138,8 +163,11 @@
 func (b *Broker) Deal(_ context.Context, ask *Ask) (*Answer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	answer := &Answer{Epoch: b.owner.Epoch}
-	if ask.Epoch != b.owner.Epoch || b.owner.Incarnation != b.self.Incarnation {
+	answer := &Answer{Incarnation: b.self.Incarnation, Epoch: b.owner.Epoch}
+	if ask.Epoch > b.owner.Epoch {
+		b.resigned = true // the asking daemon knows a later owner
+	}
+	if ask.Epoch != b.owner.Epoch || b.owner.Incarnation != b.self.Incarnation || b.resigned {
 		return answer, nil
 	}
 	now := b.clock.Now()
@@ -184,7 +212,7 @@
 	if b.heldSince.IsZero() {
 		b.heldSince = now
 	}
-	if !b.dealing && now.Sub(b.heldSince) >= voteLife {
+	if !b.dealing && (b.alone || now.Sub(b.heldSince) >= voteLife) {
 		b.dealing, b.dealtSince = true, now
 		b.buckets = make(map[string]*bucket)
 		b.log.WithField("epoch", b.owner.Epoch).Info("broker: dealing tokens")
@@ -233,36 +261,46 @@
 	}
 }
 
-// mustClaim reports whether this daemon is the one to replace the owner: the first
-// host by name weight at once, any other one after a while.
+// mustClaim reports whether this daemon is the one to replace the owner: the next start
+// of the owner's own daemon at once, the others one after the other by name weight.
 func (b *Broker) mustClaim() bool {
 	members := b.members.Members()
 	b.mu.Lock()
-	owner, failedAt := b.owner, b.failedAt
+	owner, failed := b.owner, b.failingLocked()
 	b.mu.Unlock()
-	if owner.Incarnation == b.self.Incarnation {
-		return false
+	if owner.Host == b.self.Host {
+		return owner.Incarnation != b.self.Incarnation
 	}
 	var hosts []string
 	present := false
 	for _, m := range members {
-		if m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving {
-			present = true
-		}
+		present = present || m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving
 		if !m.Leaving && m.Host != owner.Host {
 			hosts = append(hosts, m.Host)
 		}
 	}
-	failed := time.Duration(0)
-	if !failedAt.IsZero() {
-		failed = b.clock.Now().Sub(failedAt)
+	rank := slices.Index(catkinrun.Rendezvous(RowKey, hosts), b.self.Host)
+	wait := silence + time.Duration(rank)*turn
+	if !present {
+		wait -= silence
+	}
+	return rank >= 0 && failed >= wait
+}
+
+// failingLocked returns the time for which the owner has been of no use to this daemon.
+func (b *Broker) failingLocked() time.Duration {
+	now := b.clock.Now()
+	longest := time.Duration(0)
+	if b.owner.Epoch == 0 {
+		longest = now.Sub(b.startedAt)
 	}
-	if present && failed < silence {
-		return false
+	if !b.failedAt.IsZero() {
+		longest = now.Sub(b.failedAt)
 	}
-	ranked := catkinrun.Rendezvous(RowKey, hosts)
-	first := len(ranked) > 0 && ranked[0] == b.self.Host
-	return first || failed > 2*silence
+	if !b.unreadyAt.IsZero() {
+		longest = max(longest, now.Sub(b.unreadyAt)-unready)
+	}
+	return longest
 }
 
 func (b *Broker) claim(ctx context.Context) {
@@ -271,7 +309,8 @@
 		b.log.WithError(err).Error("broker: owner's row cannot be written")
 		return
 	}
-	epoch := b.Owner().Epoch
+	earlier := b.Owner()
+	epoch := earlier.Epoch
 	page, err := b.store.Commit(ctx, catkinrun.Transaction{
 		Checks: []catkinrun.Check{{Table: b.table, Key: RowKey, Revision: epoch}},
 		Writes: []catkinrun.Write{{Table: b.table, Key: RowKey, Value: value}},
@@ -281,6 +320,18 @@
 		return
 	}
 	b.take(catkinrun.Row{Key: RowKey, Value: value, Revision: page.Revision})
+	if epoch == 0 || b.stopped(ctx, earlier, page.Revision) {
+		b.succeed(page.Revision)
+	}
+}
+
+// succeed notes that no earlier owner deals any more.
+func (b *Broker) succeed(epoch catkinrun.Revision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.owner.Epoch == epoch {
+		b.alone = true
+	}
 }
 
 // bucket holds the tokens of one team that are not dealt yet.
--- a/broker/message.go
+++ b/broker/message.go
@@ -21,9 +21,10 @@
 
 // Answer has the tokens granted.
 type Answer struct {
-	Epoch  catkinrun.Revision `cbor:"epoch"`
-	Ready  bool               `cbor:"ready"` // the owner may grant
-	Grants []Grant            `cbor:"grants"`
+	Incarnation string             `cbor:"incarnation"` // of the daemon that answers
+	Epoch       catkinrun.Revision `cbor:"epoch"`
+	Ready       bool               `cbor:"ready"` // the owner may grant
+	Grants      []Grant            `cbor:"grants"`
 }
 
 // Grant is tokens of one team.
--- a/commander/cases_test.go
+++ b/commander/cases_test.go
@@ -19,7 +19,7 @@
 // TestCases runs the command line in each folder's file cmd and compares what it
 // prints, and its exit status, with the file expected.
 func TestCases(t *testing.T) {
-	t.Setenv("CATKINRUN_OPERATOR", "")
+	t.Setenv("CATKINRUN_STORE", "")
 	folders, err := filepath.Glob("testdata/cases/*")
 	is.New(t).NoErr(err)
 	for _, folder := range folders {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,6 +57,9 @@
 	firstSlots = 1
 	// memoryPart is the part of the allowed memory at which the collector works harder.
 	memoryPart = 0.7
+	// collectPercent is the growth of the live heap, in percent, at which garbage is
+	// collected: live data is a few MB, so that memory is dearer than the collector's time.
+	collectPercent = 40
 )
 
 // Daemon is one host's process.
@@ -86,6 +89,7 @@
 func New(settings loader.Settings, clock catkinrun.Clock, journal *journaler.Journal) (*Daemon, error) {
 	d := &Daemon{settings: settings, clock: clock, journal: journal, log: journal.Log(), metrics: metrics.NewSet()}
 	debug.SetMemoryLimit(int64(memoryPart * float64(settings.Memory) * (1 << 20)))
+	debug.SetGCPercent(collectPercent)
 	d.build()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -104,7 +108,7 @@
 	d.locator = locator.New(d.log)
 	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self)
 	d.broker = broker.New(store, d.locator, d.configurer, d.clock, d.log, locator.Table,
-		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: self.Incarnation})
+		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: self.Incarnation}, d.stopped)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host)
 	configuration := follower.New(store, d.clock, d.log, platform.ConfigurationTable, d.applyConfiguration)
 	members := follower.New(store, d.clock, d.log, locator.Table, d.applyMembers)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,6 +4,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/broker"
@@ -23,7 +27,9 @@
 func (d *Daemon) Owner() broker.Owner { return d.broker.Owner() }
 
 // Answered implements limiter.Asker.
-func (d *Daemon) Answered(epoch catkinrun.Revision, ok bool) { d.broker.Answered(epoch, ok) }
+func (d *Daemon) Answered(epoch catkinrun.Revision, answer *broker.Answer) {
+	d.broker.Answered(epoch, answer)
+}
 
 // Ask implements limiter.Asker. The own broker is asked without a message.
 func (d *Daemon) Ask(ctx context.Context, owner broker.Owner, ask *broker.Ask) (*broker.Answer, error) {
@@ -32,3 +38,20 @@
 	}
 	return messenger.Call[broker.Ask, broker.Answer](ctx, d.peers, owner.Peer, broker.Procedure, ask)
 }
+
+// stopTimeout bounds the question to an earlier owner: two crossings of a region.
+const stopTimeout = 300 * time.Millisecond
+
+// stopped implements broker.Predecessor.
+func (d *Daemon) stopped(ctx context.Context, earlier broker.Owner, epoch catkinrun.Revision) bool {
+	if earlier.Host == d.settings.Host {
+		return true // an earlier start of this daemon
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	answer, err := d.Ask(ctx, earlier, &broker.Ask{Host: d.settings.Host, Epoch: epoch})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return answer.Incarnation != earlier.Incarnation || !answer.Ready
+}
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -22,9 +22,6 @@
 	return &route{router: p.Router, leveler: p.Leveler, journal: p.Journal, clock: p.Clock}
 }
 
-// unknownLoad says that no load was reported.
-const unknownLoad = -1
-
 // Process chooses the host and notes how the attempt there ended.
 func (f *route) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	choice, ok := f.router.Choose(c.Envelope.Service, c.Tried)
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,83 @@
+package follower_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/follower"
+)
+
+// store answers each call with the next of its answers.
+type store struct {
+	catkinrun.Store
+	calls   []string
+	answers []answer
+}
+
+type answer struct {
+	page catkinrun.Page
+	err  error
+}
+
+func (s *store) next(call string) (catkinrun.Page, error) {
+	s.calls = append(s.calls, call)
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	return a.page, a.err
+}
+
+func (s *store) List(context.Context, string) (catkinrun.Page, error) { return s.next("list") }
+
+func (s *store) Watch(_ context.Context, _ string, after catkinrun.Revision, _ time.Duration) (catkinrun.Page, error) {
+	return s.next("watch after " + string(rune('0'+after)))
+}
+
+func page(revision catkinrun.Revision, keys ...string) catkinrun.Page {
+	p := catkinrun.Page{Revision: revision}
+	for _, key := range keys {
+		p.Rows = append(p.Rows, catkinrun.Row{Key: key})
+	}
+	return p
+}
+
+func TestFollowerListsAnewWhenHistoryIsGone(t *testing.T) {
+	is := is.New(t)
+	s := &store{answers: []answer{
+		{page: page(1, "a")}, {page: page(3, "b")}, {err: &catkinrun.HistoryError{}}, {page: page(7, "a", "c")}, {page: page(8)},
+	}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var applied []string
+	f := follower.New(s, clock.NewFake(), log, "t", func(p catkinrun.Page, whole bool) {
+		for _, row := range p.Rows {
+			applied = append(applied, row.Key)
+		}
+		if whole {
+			applied = append(applied, "whole")
+		}
+	})
+	for range 5 {
+		is.NoErr(f.Step(context.Background()))
+	}
+	is.Equal(applied, []string{"a", "whole", "b", "a", "c", "whole"})
+	is.Equal(s.calls, []string{"list", "watch after 1", "watch after 3", "list", "watch after 7"})
+}
+
+func TestFailedCallLeavesThePlace(t *testing.T) {
+	is := is.New(t)
+	s := &store{answers: []answer{{page: page(1)}, {err: &catkinrun.StoreError{}}, {page: page(2)}}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := follower.New(s, clock.NewFake(), log, "t", func(catkinrun.Page, bool) {})
+	is.NoErr(f.Step(context.Background()))
+	is.True(f.Step(context.Background()) != nil)
+	is.NoErr(f.Step(context.Background()))
+	is.Equal(s.calls, []string{"list", "watch after 1", "watch after 1"})
+}
--- /dev/null
+++ b/journaler/journaler_test.go
@@ -0,0 +1,35 @@
+package journaler_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/journaler"
+)
+
+func TestVolumeIsBoundedAndCounted(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	j := journaler.New(clock.NewFake(), &out, logrus.InfoLevel)
+	for range 10000 {
+		j.Served(logrus.Fields{"request": "r"}, "served")
+		j.Failed(logrus.Fields{"request": "r"}, "failed")
+	}
+	j.Flush()
+	is.Equal(bytes.Count(out.Bytes(), []byte(`"served"`)), 20)
+	is.Equal(bytes.Count(out.Bytes(), []byte(`"failed"`)), 200)
+	is.Equal(j.Dropped(), uint64(20000-220))
+}
+
+func TestWriterNeverWaits(t *testing.T) {
+	is := is.New(t)
+	j := journaler.New(clock.NewFake(), &bytes.Buffer{}, logrus.InfoLevel)
+	for range 10000 { // nobody reads
+		j.Log().Info("line")
+	}
+	is.True(j.Dropped() > 0)
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -44,7 +44,7 @@
 type Asker interface {
 	Owner() broker.Owner
 	Ask(ctx context.Context, owner broker.Owner, ask *broker.Ask) (*broker.Answer, error)
-	Answered(epoch catkinrun.Revision, ok bool)
+	Answered(epoch catkinrun.Revision, answer *broker.Answer)
 }
 
 // Members counts the hosts among which the even part is divided.
@@ -178,7 +178,7 @@
 	defer cancel()
 	sentAt := l.clock.Now()
 	answer, err := l.asker.Ask(ctx, owner, l.ask(owner, sentAt))
-	l.asker.Answered(owner.Epoch, err == nil)
+	l.asker.Answered(owner.Epoch, answer)
 	if err != nil {
 		l.log.WithError(err).WithField("owner", owner.Host).Debug("limiter: owner does not answer")
 		return
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -57,6 +57,7 @@
 	broker  *broker.Broker
 	limiter *limiter.Limiter
 	cut     bool // from the store and from the other daemons
+	dead    bool // for good
 }
 
 func (f *fleet) Members() []catkinrun.Member { return f.members }
@@ -71,19 +72,30 @@
 }
 
 func (d *daemon) Owner() broker.Owner { return d.broker.Owner() }
-func (d *daemon) Answered(epoch catkinrun.Revision, answered bool) {
-	d.broker.Answered(epoch, answered)
+func (d *daemon) Answered(epoch catkinrun.Revision, answer *broker.Answer) {
+	d.broker.Answered(epoch, answer)
 }
 
 func (d *daemon) Ask(ctx context.Context, owner broker.Owner, ask *broker.Ask) (*broker.Answer, error) {
 	for _, other := range d.fleet.daemons {
-		if other.name == owner.Host && (other == d || !d.cut && !other.cut) {
+		if other.name == owner.Host && !other.dead && (other == d || !d.cut && !other.cut) {
 			return other.broker.Deal(ctx, ask)
 		}
 	}
 	return nil, &catkinrun.NotFoundError{Kind: "host", Name: owner.Host}
 }
 
+// stopped is what the daemon's own does: a dead process is known to have ended.
+func (d *daemon) stopped(ctx context.Context, earlier broker.Owner, epoch catkinrun.Revision) bool {
+	for _, other := range d.fleet.daemons {
+		if other.name == earlier.Host && other.dead && !d.cut {
+			return true
+		}
+	}
+	answer, err := d.Ask(ctx, earlier, &broker.Ask{Host: d.name, Epoch: epoch})
+	return err == nil && !answer.Ready
+}
+
 func newFleet(t *rapid.T, count int) *fleet {
 	f := &fleet{clock: clock.NewFake(), store: &store{}}
 	log := logrus.New()
@@ -99,7 +111,7 @@
 		name := fmt.Sprint("host-", i)
 		f.members = append(f.members, catkinrun.Member{Host: name, Peer: name, Incarnation: name})
 		d := &daemon{fleet: f, name: name}
-		d.broker = broker.New(f.store, f, teams, f.clock, log, ownerTable, broker.Owner{Host: name, Peer: name, Incarnation: name})
+		d.broker = broker.New(f.store, f, teams, f.clock, log, ownerTable, broker.Owner{Host: name, Peer: name, Incarnation: name}, d.stopped)
 		d.limiter = limiter.New(teams, f, d, f.clock, log, name)
 		f.daemons = append(f.daemons, d)
 	}
@@ -110,6 +122,9 @@
 func (f *fleet) tick() {
 	f.clock.Advance(50 * time.Millisecond)
 	for _, d := range f.daemons {
+		if d.dead {
+			continue
+		}
 		if !d.cut {
 			d.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}})
 		}
@@ -119,6 +134,9 @@
 }
 
 func (f *fleet) take(d *daemon) {
+	if d.dead {
+		return
+	}
 	done, cancel := context.WithCancel(context.Background())
 	cancel() // nothing waits
 	if d.limiter.Take(done, teamName, 0) == nil {
@@ -188,3 +206,43 @@
 		}
 	})
 }
+
+// TestOwnerIsReplacedThoughTheNextIsDeadToo kills the owner and the two hosts that
+// come first after it, and looks whether the others are served within four seconds.
+func TestOwnerIsReplacedThoughTheNextIsDeadToo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 8)
+		for range 100 {
+			f.tick()
+		}
+		for range 3 {
+			for range 16 { // 800 ms: the next host claims, and dies
+				f.tick()
+			}
+			for _, d := range f.daemons {
+				if owner := d.Owner(); owner.Host == d.name {
+					d.dead = true
+				}
+			}
+		}
+		for range 80 {
+			f.tick()
+		}
+		before, served := len(f.taken), 0
+		for range 100 {
+			f.tick()
+			for range 3 {
+				for _, d := range f.daemons {
+					if !d.dead {
+						f.take(d)
+						break
+					}
+				}
+			}
+		}
+		served = len(f.taken) - before
+		if served < 280 {
+			t.Fatalf("%d of 300 requests served inside the rate", served)
+		}
+	})
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -49,7 +49,6 @@
 	coldUntil time.Time
 	heardAt   time.Time
 	ended     []ending
-	published string // the row's value when it was last written or read
 	waiters   []chan struct{}
 }
 
@@ -96,7 +95,7 @@
 // Announce implements platform.Registrar. It returns once the announcement counts
 // here, and a change is published or the store is slow.
 func (r *Registrar) Announce(s catkinrun.Server) {
-	if published := r.note(s); published != nil {
+	if published := r.Note(s); published != nil {
 		await(published)
 	}
 }
@@ -111,8 +110,9 @@
 	}
 }
 
-// note takes an announcement. It returns nil if nothing is to be published.
-func (r *Registrar) note(s catkinrun.Server) chan struct{} {
+// Note takes an announcement. The returned channel is closed once it is published; it
+// is nil if nothing is to be published.
+func (r *Registrar) Note(s catkinrun.Server) chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.outdatedLocked(s) {
@@ -158,19 +158,24 @@
 
 // Deregister implements platform.Registrar: the server takes no new work from now on.
 func (r *Registrar) Deregister(id string) {
+	if published := r.NoteEnd(id); published != nil {
+		await(published)
+	}
+}
+
+// NoteEnd is Note for a server that has said that it ends.
+func (r *Registrar) NoteEnd(id string) chan struct{} {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	current := r.self.Server
 	if current == nil || current.ID != id {
 		r.ended = append(r.ended, ending{id: id})
-		r.mu.Unlock()
-		return
+		return nil
 	}
 	r.endLocked(*current)
 	r.self = r.self.WithServer(nil)
 	r.log.WithFields(logrus.Fields{"server": id, "service": current.Service}).Info("registrar: server has left")
-	published := r.publishLocked()
-	r.mu.Unlock()
-	await(published)
+	return r.publishLocked()
 }
 
 func (r *Registrar) endLocked(s catkinrun.Server) {
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,163 @@
+package registrar_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/locator"
+	"github.com/catkinrun/catkinrun/registrar"
+)
+
+// store keeps one table of rows, and can lose answers or be away.
+type store struct {
+	catkinrun.Store
+	rows     map[string]catkinrun.Row
+	revision catkinrun.Revision
+	down     bool
+	lost     bool                    // writes are done and not answered
+	late     []catkinrun.Transaction // writes that take effect later
+}
+
+func (s *store) Commit(_ context.Context, t catkinrun.Transaction) (catkinrun.Page, error) {
+	if s.down {
+		s.late = append(s.late, t)
+		return catkinrun.Page{}, &catkinrun.StoreError{Operation: "commit"}
+	}
+	page, err := s.apply(t)
+	if s.lost {
+		return catkinrun.Page{}, &catkinrun.StoreError{Operation: "commit"}
+	}
+	return page, err
+}
+
+func (s *store) apply(t catkinrun.Transaction) (catkinrun.Page, error) {
+	for _, c := range t.Checks {
+		if row := s.rows[c.Key]; row.Revision != c.Revision {
+			return catkinrun.Page{}, &catkinrun.CheckError{Table: c.Table, Key: c.Key, Current: row}
+		}
+	}
+	s.revision++
+	for _, w := range t.Writes {
+		s.rows[w.Key] = catkinrun.Row{Key: w.Key, Value: w.Value, Revision: s.revision}
+	}
+	return catkinrun.Page{Revision: s.revision}, nil
+}
+
+func (s *store) member(t interface{ Fatal(...any) }) catkinrun.Member {
+	var m catkinrun.Member
+	if err := json.Unmarshal(s.rows[locator.Key("h")].Value, &m); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func newRegistrar() (*registrar.Registrar, *store, *locator.Locator) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &store{rows: make(map[string]catkinrun.Row)}
+	l := locator.New(log)
+	self := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
+	return registrar.New(s, l, clock.NewFake(), log, self), s, l
+}
+
+func TestHeartbeatOfADeadServerChangesNothing(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := newRegistrar()
+	r.Note(catkinrun.Server{ID: "old", Service: "a", Slots: 1, Born: 100, Sequence: 9})
+	r.Note(catkinrun.Server{ID: "new", Service: "b", Slots: 1, Born: 200, Sequence: 1})
+	r.Note(catkinrun.Server{ID: "old", Service: "a", Slots: 1, Born: 100, Sequence: 10}) // delayed on its way
+	server, open := r.Server()
+	is.True(open)
+	is.Equal(server.ID, "new")
+}
+
+func TestServerStartsAgainUnderItsID(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := newRegistrar()
+	r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 100, Sequence: 40})
+	r.NoteEnd("i")
+	_, open := r.Server()
+	is.True(!open)
+	r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 100, Sequence: 41})
+	_, open = r.Server()
+	is.True(!open) // it has said that it leaves
+	r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 300, Sequence: 1})
+	_, open = r.Server()
+	is.True(open)
+}
+
+func TestDrainingServerTakesNoNewWork(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := newRegistrar()
+	r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 1, Sequence: 1})
+	r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 1, Sequence: 3, Draining: true})
+	r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 1, Sequence: 2}) // late
+	_, open := r.Server()
+	is.True(!open)
+}
+
+func TestRestartedDaemonKnowsItsServerFromTheStore(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := newRegistrar()
+	raw, err := json.Marshal(catkinrun.Member{Host: "h", Peer: "p", Server: &catkinrun.Server{ID: "i", Service: "a", Slots: 4, Born: 7, Draining: true}})
+	is.NoErr(err)
+	r.Adopt(catkinrun.Row{Key: locator.Key("h"), Value: raw, Revision: 3})
+	server, open := r.Server()
+	is.Equal(server.ID, "i")
+	is.True(!open) // an acknowledged drain outlives the daemon
+	r.Note(catkinrun.Server{ID: "j", Service: "a", Slots: 4, Born: 8, Sequence: 1})
+	_, open = r.Server()
+	is.True(open)
+}
+
+// TestRowFollowsTheServer lets the store be away, lose answers and carry writes out
+// late, and looks at the row once it is back.
+func TestRowFollowsTheServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, s, _ := newRegistrar()
+		sequence := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if s.down || s.lost {
+					return
+				}
+				for range 3 { // a late write may come between two looks
+					_ = r.Publish(context.Background())
+				}
+				if err := r.Publish(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+				server, open := r.Server()
+				m := s.member(t)
+				if (m.Server != nil && !m.Server.Draining) != open {
+					t.Fatalf("row %+v, server %+v open %t", m.Server, server, open)
+				}
+			},
+			"announce": func(t *rapid.T) {
+				sequence++
+				_ = r.Publish(context.Background())
+				r.Note(catkinrun.Server{
+					ID: "i", Service: "a", Slots: 1 + int(sequence%3), Born: int64(sequence / 8), Sequence: sequence,
+					Draining: rapid.Bool().Draw(t, "draining"),
+				})
+			},
+			"store": func(t *rapid.T) {
+				s.down, s.lost = rapid.Bool().Draw(t, "down"), rapid.Bool().Draw(t, "lost")
+			},
+			"late writes": func(*rapid.T) {
+				for _, t := range s.late {
+					_, _ = s.apply(t) // most fail their check
+				}
+				s.late = nil
+			},
+		})
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -18,7 +18,7 @@
 	// zonePenalty is the load that another availability zone's server must be below the
 	// own one's to be chosen: bytes between zones are paid for, and each crossing adds
 	// over a millisecond.
-	zonePenalty = 0.15
+	zonePenalty = 0.3
 	// failurePenalty is the load by which a server that fails every request counts as
 	// fuller; one that fails a third of them is used when the others are two thirds full.
 	failurePenalty = 2.0
@@ -27,6 +27,8 @@
 	// failureMemory is the time in which a server's failures fade if it gets no requests,
 	// so that it is tried again.
 	failureMemory = 3 * time.Second
+	// fewFailures is the part of failed requests that any server may have.
+	fewFailures = 0.01
 	// reportLife is how long a server's word about its load counts.
 	reportLife = time.Second
 	// firstAside and lastAside bound the time for which a host that cannot be reached is
@@ -140,8 +142,11 @@
 	if m.Zone != r.zone {
 		score += zonePenalty
 	}
-	fading := math.Exp(-now.Sub(s.failedAt).Seconds() / failureMemory.Seconds())
-	return score + failurePenalty*s.failures*fading
+	failures := s.failures * math.Exp(-now.Sub(s.failedAt).Seconds()/failureMemory.Seconds())
+	if failures < fewFailures {
+		return score // else a server that failed once would lose every tie for good
+	}
+	return score + failurePenalty*failures
 }
 
 // Started notes that a request goes to the host.
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,98 @@
+package router_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/router"
+)
+
+type members []catkinrun.Member
+
+func (m members) Serving(string) []catkinrun.Member { return m }
+
+func member(host, zone string) catkinrun.Member {
+	return catkinrun.Member{Host: host, Zone: zone, Peer: host, Server: &catkinrun.Server{ID: "i", Service: "s", Slots: 10}}
+}
+
+func newRouter(list members) (*router.Router, *clock.Fake) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := clock.NewFake()
+	return router.New(list, c, log, "zone-a", func() float64 { return 0 }), c
+}
+
+// choose notes the result of so many requests and counts the hosts chosen.
+func choose(r *router.Router, n int, result func(host string) router.Result) map[string]int {
+	counts := make(map[string]int)
+	for range n {
+		choice, ok := r.Choose("s", nil)
+		if !ok {
+			continue
+		}
+		host := choice.Member.Host
+		r.Started(host)
+		counts[host]++
+		r.Ended(host, result(host), -1)
+	}
+	return counts
+}
+
+func TestOwnZoneFirst(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRouter(members{member("far", "zone-b"), member("near", "zone-a")})
+	counts := choose(r, 100, func(string) router.Result { return router.Served })
+	is.Equal(counts["near"], 100)
+}
+
+func TestLoadedServerIsLeft(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRouter(members{member("far", "zone-b"), member("near", "zone-a")})
+	choice, _ := r.Choose("s", nil)
+	r.Started(choice.Member.Host)
+	r.Ended("near", router.Served, 0.9)
+	choice, _ = r.Choose("s", nil)
+	is.Equal(choice.Member.Host, "far")
+}
+
+func TestFailingServerIsAvoidedAndTriedAgain(t *testing.T) {
+	is := is.New(t)
+	r, c := newRouter(members{member("bad", "zone-a"), member("good", "zone-a")})
+	result := func(host string) router.Result {
+		if host == "bad" {
+			return router.Failed
+		}
+		return router.Served
+	}
+	counts := choose(r, 200, result)
+	is.True(counts["bad"] < 10)
+	c.Advance(time.Minute) // its failures have faded
+	is.True(choose(r, 200, result)["bad"] > 0)
+}
+
+func TestUnreachableHostIsSetAsideAndBackSoon(t *testing.T) {
+	is := is.New(t)
+	r, c := newRouter(members{member("dark", "zone-a"), member("far", "zone-b")})
+	result := func(host string) router.Result {
+		if host == "dark" {
+			return router.Unreachable
+		}
+		return router.Served
+	}
+	is.Equal(choose(r, 50, result)["dark"], 1)
+	c.Advance(3 * time.Second)
+	is.Equal(choose(r, 50, func(string) router.Result { return router.Served })["dark"], 50)
+}
+
+func TestLastHostIsUsedEvenIfSetAside(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRouter(members{member("only", "zone-a")})
+	counts := choose(r, 3, func(string) router.Result { return router.Unreachable })
+	is.Equal(counts["only"], 3) // never nobody
+}
