Calls are found by their request's start too; no connection is closed before its answer

Change: the learner matches starts as well. Change: answers ask for the close, listeners stop accepting, nothing that is open is closed before the end. Also: target load 0.85, so that calls leave room for new requests; a refusal over the rate names a time to come back; two calls per slot may wait.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -28,7 +28,7 @@
 	callPatience = 0.5
 	// callQueue is the number of calls per slot that may wait; of other requests one may.
 	// Calls are short, and their patience bounds the wait.
-	callQueue = 4
+	callQueue = 2
 	// serviceSmoothing weighs a new service time against the mean.
 	serviceSmoothing = 0.1
 	// estimateDecay lowers an estimated service time at each refusal that rests on it.
--- a/admitter/pressure.go
+++ b/admitter/pressure.go
@@ -10,9 +10,9 @@
 	// pressureNow is the part by which one load of excess counts at once, before it has
 	// lasted: a full queue holds what a surge brings until the integral has risen.
 	pressureNow = 0.15
-	// targetLoad is the load at which the pressure neither rises nor falls: all slots in
-	// use and a short queue.
-	targetLoad = 1.0
+	// targetLoad is the load at which the pressure neither rises nor falls. Calls go before
+	// new requests, so some room must be left or the latter would never be served here.
+	targetLoad = 0.85
 	// mostRise and mostFall bound the excess that counts, so that a long queue does not
 	// close the way at once and an idle second does not open it whole.
 	mostRise = 1.0
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -157,7 +157,7 @@
 
 // Serve runs the daemon until ctx ends, and then stops it in order.
 func (d *Daemon) Serve(ctx context.Context) error {
-	supervisor := suture.New("catkinrun "+d.settings.Host, suture.Spec{EventHook: d.event})
+	supervisor := suture.New("catkinrun "+d.settings.Host, suture.Spec{EventHook: d.event, Timeout: partTimeout})
 	for _, s := range d.services {
 		supervisor.Add(s)
 	}
@@ -186,23 +186,25 @@
 }
 
 const (
-	// servePart is the part of the time to stop during which callers are served as before:
-	// the platform takes a daemon out after two answers a second apart.
-	servePart = 0.45
-	// drainPart is the part after which the listeners are closed and only running requests
-	// are waited for.
-	drainPart = 0.6
-	// endPart is the part after which the process ends in any case.
-	endPart = 0.95
-	// quietTime is the time without a request after which a leaving daemon ends early.
-	quietTime = 1500 * time.Millisecond
+	// servePart is the part of the time to stop during which new connections are taken as
+	// before: the platform takes a daemon out after two answers a second apart.
+	servePart = 0.5
+	// endPart is the part after which the process ends in any case: in the last sixth a
+	// request that still runs may be cut, and the process needs some time to end.
+	endPart = 0.85
+	// partTimeout is the longest wait for one part to end.
+	partTimeout = 200 * time.Millisecond
+	// quietTime is the time without a request after which a leaving daemon goes on to the
+	// next step early; a caller's next request on an open connection may come within it.
+	quietTime = 1200 * time.Millisecond
 	// lookTime is the time between two looks at the running requests.
 	lookTime = 50 * time.Millisecond
 )
 
 // leave is the order of a planned stop: the daemon says that it is not ready and tells
-// the others, serves what still arrives, asks callers to go elsewhere, and closes its
-// listeners once the running requests have ended.
+// the others, asks callers to close their connections with each answer, serves what
+// still arrives, and takes no new connections after a while. No connection is closed
+// before its answer: one that is idle may bear a request at that very moment.
 func (d *Daemon) leave(ctx context.Context) {
 	startedAt := d.clock.Now()
 	stop := time.Duration(d.settings.Times.Stop)
@@ -210,14 +212,12 @@
 	d.registrar.Leave()
 	d.log.WithField("running", d.running.Load()).Info("daemon: leaving")
 	d.waitUntil(ctx, startedAt.Add(time.Duration(servePart*float64(stop))))
-	for _, l := range d.listeners {
-		l.server.SetKeepAlivesEnabled(false)
-	}
-	d.waitUntil(ctx, startedAt.Add(time.Duration(drainPart*float64(stop))))
-	closing, cancel := context.WithTimeout(ctx, startedAt.Add(time.Duration(endPart*float64(stop))).Sub(d.clock.Now()))
-	defer cancel()
 	for _, name := range []string{"caller", "peer"} {
-		d.close(closing, name)
+		d.find(name).refuse()
+	}
+	d.waitUntil(ctx, startedAt.Add(time.Duration(endPart*float64(stop))))
+	if running := d.running.Load(); running > 0 {
+		d.log.WithField("running", running).Warn("daemon: requests were still running")
 	}
 }
 
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -46,6 +46,7 @@
 	net    net.Listener
 	server *http.Server
 	open   atomic.Int64 // connections
+	closed atomic.Bool  // takes no new connections
 }
 
 // crowdPart is the part of the process's descriptors, one in so many, that the open
@@ -63,10 +64,12 @@
 	}
 }
 
-// relieve asks for the end of a connection with its answer while too many are open.
-func (l *listener) relieve(next http.Handler, crowd int64) http.Handler {
+// relieve asks for the end of a connection with its answer while too many are open, and
+// while the daemon is leaving.
+func (d *Daemon) relieve(l *listener, next http.Handler) http.Handler {
+	crowd := int64(d.settings.Files / crowdPart)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.open.Load() > crowd {
+		if d.leaving.Load() || l.open.Load() > crowd {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -78,12 +81,18 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() }) // the process ends
 	defer stop()
 	err := l.server.Serve(l.net)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || l.closed.Load() {
 		return suture.ErrDoNotRestart
 	}
 	return err
 }
 
+// refuse takes no new connections; those that are open go on.
+func (l *listener) refuse() {
+	l.closed.Store(true)
+	_ = l.net.Close() // it has done its work
+}
+
 // String names the service in the supervisor's messages.
 func (l *listener) String() string { return l.name + " listener" }
 
@@ -106,7 +115,7 @@
 		}
 		l := &listener{name: p.name, net: socket}
 		l.server = &http.Server{
-			Handler: l.relieve(p.handler, int64(d.settings.Files/crowdPart)), ConnState: l.note, ReadHeaderTimeout: headerTimeout, IdleTimeout: listenIdle, MaxHeaderBytes: maxHeader,
+			Handler: d.relieve(l, p.handler), ConnState: l.note, ReadHeaderTimeout: headerTimeout, IdleTimeout: listenIdle, MaxHeaderBytes: maxHeader,
 		}
 		d.listeners = append(d.listeners, l)
 	}
@@ -145,10 +154,3 @@
 	}
 	return nil
 }
-
-// close stops a listener once its running requests have ended.
-func (d *Daemon) close(ctx context.Context, name string) {
-	if err := d.find(name).server.Shutdown(ctx); err != nil {
-		d.log.WithError(err).WithField("listener", name).Warn("daemon: requests were still running")
-	}
-}
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -23,7 +23,8 @@
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
-	end := p.Learner.Begin(c.Envelope.Route, p.Clock.Now().Add(c.Envelope.TimeLeft))
+	startedAt := p.Clock.Now()
+	end := p.Learner.Begin(c.Envelope.Route, startedAt, startedAt.Add(c.Envelope.TimeLeft))
 	defer end()
 	request := exchanger.Request(ctx, c, p.Server)
 	p.Dialect.TellServer(request.Header, catkinrun.ServerFacts{
--- a/filterer/limit.go
+++ b/filterer/limit.go
@@ -23,7 +23,9 @@
 func (f *limit) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	if c.Envelope.Team != "" {
 		if err := f.limiter.Take(ctx, c.Envelope.Team, limitPatience); err != nil {
-			return err
+			refusal := *asRefusal(err)
+			refusal.RetryAfter = max(refusal.RetryAfter, comeBack(c.Route))
+			return &refusal
 		}
 	}
 	return next(ctx, c)
--- a/filterer/shed.go
+++ b/filterer/shed.go
@@ -25,7 +25,7 @@
 	p := f.parts
 	route := c.Envelope.Route
 	if c.Envelope.Call {
-		p.Learner.Called(route, c.StartedAt.Add(c.TimeLeft), c.StartedAt)
+		p.Learner.Called(route, c.StartedAt, c.TimeLeft)
 	} else if refused, pressure := p.Leveler.Refuses(route, c.Envelope.Class()); refused {
 		p.Journal.Failed(logrus.Fields{
 			"request": c.Envelope.Request, "route": route, "class": c.Envelope.Class(), "pressure": pressure,
--- a/learner/learner.go
+++ b/learner/learner.go
@@ -1,7 +1,7 @@
 // Package learner finds out which routes' requests make which calls. A backend server
 // says nothing of it, but a call ends at the deadline of the request that it is made
-// for. So a call whose deadline is that of the running requests of just one route was
-// made for that route.
+// for, or, if that is far off, a fixed time after that request's start. So a call whose
+// deadline fits the running requests of just one route was made for that route.
 package learner
 
 import (
@@ -25,68 +25,88 @@
 // Learner watches one backend server. It is safe for concurrent use.
 type Learner struct {
 	mu      sync.Mutex
-	running map[int64]map[string]int // routes of running requests by deadline
+	ends    index                    // running requests by deadline
+	starts  index                    // and by start
+	longest map[string]time.Duration // the most time that a call has had
 	runs    map[string]float64       // by route
 	calls   map[string]map[string]float64
 	agedAt  time.Time
 }
 
-// New returns a learner that knows no call.
-func New() *Learner {
-	return &Learner{
-		running: make(map[int64]map[string]int), runs: make(map[string]float64), calls: make(map[string]map[string]float64),
+// index finds the routes of running requests by a time.
+type index map[int64]map[string]int
+
+func slot(t time.Time) int64 { return t.UnixNano() / int64(grain) }
+
+func (x index) add(t time.Time, route string) {
+	at := slot(t)
+	if x[at] == nil {
+		x[at] = make(map[string]int)
 	}
+	x[at][route]++
 }
 
-func slot(deadline time.Time) int64 { return deadline.UnixNano() / int64(grain) }
+func (x index) remove(t time.Time, route string) {
+	at := slot(t)
+	if x[at][route]--; x[at][route] <= 0 {
+		delete(x[at], route)
+	}
+	if len(x[at]) == 0 {
+		delete(x, at)
+	}
+}
 
-// Begin notes a request that the server runs until deadline. The returned function
-// ends it.
-func (l *Learner) Begin(route string, deadline time.Time) (end func()) {
-	at := slot(deadline)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs[route]++
-	if l.running[at] == nil {
-		l.running[at] = make(map[string]int)
+// near adds the routes of requests at about a time to a set.
+func (x index) near(t time.Time, routes map[string]bool) {
+	for at := slot(t) - 1; at <= slot(t)+1; at++ {
+		for route := range x[at] {
+			routes[route] = true
+		}
 	}
-	l.running[at][route]++
-	return func() { l.end(route, at) }
 }
 
-func (l *Learner) end(route string, at int64) {
+// New returns a learner that knows no call.
+func New() *Learner {
+	return &Learner{
+		ends: make(index), starts: make(index), longest: make(map[string]time.Duration),
+		runs: make(map[string]float64), calls: make(map[string]map[string]float64),
+	}
+}
+
+// Begin notes a request that the server runs from start until deadline. The returned
+// function ends it.
+func (l *Learner) Begin(route string, start, deadline time.Time) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	routes := l.running[at]
-	if routes[route]--; routes[route] <= 0 {
-		delete(routes, route)
-	}
-	if len(routes) == 0 {
-		delete(l.running, at)
+	l.runs[route]++
+	l.ends.add(deadline, route)
+	l.starts.add(start, route)
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.ends.remove(deadline, route)
+		l.starts.remove(start, route)
 	}
 }
 
-// Called notes a call that the server makes and that ends at deadline.
-func (l *Learner) Called(call string, deadline, now time.Time) {
+// Called notes a call that the server makes now, with so much time left.
+func (l *Learner) Called(call string, now time.Time, left time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ageLocked(now)
-	parent := ""
-	for at := slot(deadline) - 1; at <= slot(deadline)+1; at++ {
-		for route := range l.running[at] {
-			if parent != "" && parent != route {
-				return // it may belong to either
-			}
-			parent = route
-		}
+	l.longest[call] = max(l.longest[call], left)
+	parents := make(map[string]bool)
+	l.ends.near(now.Add(left), parents)
+	l.starts.near(now.Add(left-l.longest[call]), parents)
+	if len(parents) != 1 {
+		return // it may belong to any of them
 	}
-	if parent == "" {
-		return
-	}
-	if l.calls[parent] == nil {
-		l.calls[parent] = make(map[string]float64)
+	for parent := range parents {
+		if l.calls[parent] == nil {
+			l.calls[parent] = make(map[string]float64)
+		}
+		l.calls[parent][call]++
 	}
-	l.calls[parent][call]++
 }
 
 // ageLocked lets old evidence fade, so that a changed program is learned anew.
@@ -101,6 +121,7 @@
 	for route := range l.runs {
 		l.runs[route] /= 2
 	}
+	clear(l.longest)
 	for _, calls := range l.calls {
 		for call := range calls {
 			calls[call] /= 2
