--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/catkinrun/catkinrun"
 )
 
@@ -40,7 +38,6 @@
 // Admitter admits requests to one backend server. It is safe for concurrent use.
 type Admitter struct {
 	clock catkinrun.Clock
-	log   logrus.FieldLogger
 
 	mu       sync.Mutex
 	slots    int
@@ -60,9 +57,9 @@
 }
 
 // New returns an admitter for a server with that many slots.
-func New(slots int, clock catkinrun.Clock, log logrus.FieldLogger) *Admitter {
+func New(slots int, clock catkinrun.Clock) *Admitter {
 	return &Admitter{
-		clock: clock, log: log, slots: slots,
+		clock: clock, slots: slots,
 		services: make(map[string]time.Duration),
 		counts:   Counts{Shed: make(map[catkinrun.Reason]uint64)},
 	}
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"github.com/catkinrun/catkinrun"
@@ -18,10 +16,8 @@
 )
 
 func newAdmitter(slots int) (*admitter.Admitter, *clock.Fake) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	c := clock.NewFake()
-	return admitter.New(slots, c, log), c
+	return admitter.New(slots, c), c
 }
 
 func envelope(i int, p catkinrun.Priority) catkinrun.Envelope {
--- a/commander/daemon.go
+++ b/commander/daemon.go
@@ -13,11 +13,9 @@
 	"github.com/catkinrun/catkinrun/daemon"
 	"github.com/catkinrun/catkinrun/journaler"
 	"github.com/catkinrun/catkinrun/loader"
+	"github.com/catkinrun/catkinrun/platform"
 )
 
-// settingsVariable names the settings file where the flag does not.
-const settingsVariable = "CATKINRUN_SETTINGS"
-
 func newDaemon() *cobra.Command {
 	var file string
 	command := &cobra.Command{
@@ -46,7 +44,7 @@
 			return d.Serve(c.Context())
 		},
 	}
-	command.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "YAML file with this host's settings (default $"+settingsVariable+")")
+	command.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable), "YAML file with this host's settings (default $"+platform.SettingsVariable+")")
 	return command
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,19 +70,21 @@
 	log      *logrus.Logger
 	metrics  *metrics.Set
 
-	configurer *configurer.Configurer
-	locator    *locator.Locator
-	registrar  *registrar.Registrar
-	broker     *broker.Broker
-	limiter    *limiter.Limiter
-	syncer     *syncer.Syncer
-	admitter   *admitter.Admitter
-	peers      *messenger.Client
-	gateway    *filterer.Gateway
-	services   []suture.Service
-	listeners  []*listener
-	leaving    atomic.Bool
-	running    atomic.Int64 // requests of callers and of other daemons
+	configuration *follower.Follower
+	members       *follower.Follower
+	configurer    *configurer.Configurer
+	locator       *locator.Locator
+	registrar     *registrar.Registrar
+	broker        *broker.Broker
+	limiter       *limiter.Limiter
+	syncer        *syncer.Syncer
+	admitter      *admitter.Admitter
+	peers         *messenger.Client
+	gateway       *filterer.Gateway
+	services      []suture.Service
+	listeners     []*listener
+	leaving       atomic.Bool
+	running       atomic.Int64 // requests of callers and of other daemons
 }
 
 // New builds a daemon and opens its listeners. It fails with *ListenError.
@@ -110,11 +112,11 @@
 	d.broker = broker.New(store, d.locator, d.configurer, d.clock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: self.Incarnation}, d.stopped)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host)
-	configuration := follower.New(store, d.clock, d.log, platform.ConfigurationTable, d.applyConfiguration)
-	members := follower.New(store, d.clock, d.log, locator.Table, d.applyMembers)
-	failing := func() bool { return configuration.Failing() || members.Failing() }
+	d.configuration = follower.New(store, d.clock, d.log, platform.ConfigurationTable, d.applyConfiguration)
+	d.members = follower.New(store, d.clock, d.log, locator.Table, d.applyMembers)
+	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
 	d.syncer = syncer.New(d.configurer, d.locator, d.peers, d.clock, d.log, s.Listen.Peer, failing)
-	d.admitter = admitter.New(firstSlots, d.clock, d.log)
+	d.admitter = admitter.New(firstSlots, d.clock)
 	parts := &filterer.Parts{
 		Self: self, Service: s.Service, Server: s.Server, Dialect: platform.Dialect{},
 		Configurer: d.configurer, Learner: learner.New(), Leveler: leveler.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
@@ -123,7 +125,7 @@
 		Clock: d.clock, Journal: d.journal,
 	}
 	d.gateway = filterer.NewGateway(parts, rand.Float64, d.count)
-	d.services = []suture.Service{d.journal, configuration, members, d.registrar, d.broker, d.limiter, d.syncer}
+	d.services = []suture.Service{d.journal, d.configuration, d.members, d.registrar, d.broker, d.limiter, d.syncer}
 	d.registerMetrics()
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkinrun/catkinrun/filterer"
+	"github.com/catkinrun/catkinrun/follower"
 )
 
 // count adds one to the requests of a listener that ended so.
@@ -25,6 +26,9 @@
 		"catkinrun_admission_queued":   func() float64 { return float64(d.admitter.Counts().Queued) },
 		"catkinrun_log_lines_dropped":  func() float64 { return float64(d.journal.Dropped()) },
 	}
+	for table, f := range map[string]*follower.Follower{"configuration": d.configuration, "members": d.members} {
+		gauges[fmt.Sprintf(`catkinrun_store_age_seconds{table=%q}`, table)] = func() float64 { return f.Age().Seconds() }
+	}
 	for name, read := range gauges {
 		d.metrics.NewGauge(name, read)
 	}
--- a/envelope.go
+++ b/envelope.go
@@ -37,7 +37,6 @@
 	ReasonLocal       Reason = "local"       // this daemon lacks what it needs to send
 	ReasonBroken      Reason = "broken"      // the answer broke off or was not the server's
 	ReasonBadRequest  Reason = "bad-request" // malformed or over a limit
-	ReasonPeer        Reason = "peer"        // the peer did not prove itself
 )
 
 // Priority orders requests under overload: 0 is the most urgent.
--- a/errors.go
+++ b/errors.go
@@ -79,7 +79,6 @@
 	Reached    bool          // bytes of the request went to a backend server
 	Load       float64       // of the server that refused, 0 if none did
 	Pressure   float64       // part of the new requests that should not be sent; 0 if unknown
-	Version    Version       // configuration of the daemon that refused, 0 if unknown
 }
 
 func (r *Refusal) Error() string { return fmt.Sprintf("refused: %s: %s", r.Reason, r.Detail) }
--- a/filter.go
+++ b/filter.go
@@ -61,13 +61,10 @@
 
 // AnswerFacts are what a backend server says in headers.
 type AnswerFacts struct {
-	ID          string // of the request that it answers
-	NotRun      bool   // it did not run the request
-	Misdirected bool   // another server has the address now
-	Signed      bool   // the answer is the server's own work
-	Running     int    // requests that it runs, -1 if it does not say
-	Waiting     int
-	Slots       int
+	ID          string        // of the request that it answers
+	NotRun      bool          // it did not run the request
+	Misdirected bool          // another server has the address now
+	Signed      bool          // the answer is the server's own work
 	IdleTimeout time.Duration // after which it closes an unused connection, 0 if it does not say
 }
 
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -18,7 +18,7 @@
 	bufferLimit = 64 << 10
 	// maxBody bounds a request's body where the configuration does not, in bytes.
 	maxBody = 64 << 20
-	// maxTarget bounds the wait that a caller may state.
+	// maxTimeLeft bounds the wait that a caller may state.
 	maxTimeLeft = 10 * time.Minute
 )
 
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -106,9 +106,7 @@
 
 // writeRefusalReport adds what the entry daemon shall know of a refusal.
 func writeRefusalReport(h http.Header, r *catkinrun.Refusal, request string) {
-	h.Set(RequestHeader, request)
-	h.Set(loadHeader, strconv.Itoa(int(r.Load*loadScale)))
-	h.Set(pressureHeader, strconv.Itoa(int(r.Pressure*loadScale)))
+	writeState(h, request, r.Load, r.Pressure)
 	if r.Reached {
 		h.Set(reachedHeader, "1")
 	}
@@ -133,7 +131,6 @@
 		Status: a.Status, Reason: catkinrun.Reason(a.Header.Get(ReasonHeader)), Outcome: outcome, Detail: p.Detail,
 		Load: float64(number(a.Header, loadHeader)) / loadScale, Reached: a.Header.Get(reachedHeader) != "",
 		Pressure: float64(number(a.Header, pressureHeader)) / loadScale,
-		Version:  catkinrun.Version(number(a.Header, versionHeader)),
 	}
 	if seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
 		refusal.RetryAfter = time.Duration(seconds * float64(time.Second))
@@ -141,11 +138,16 @@
 	return refusal, true
 }
 
+// writeState says which request is meant and how its server is.
+func writeState(h http.Header, request string, load, pressure float64) {
+	h.Set(RequestHeader, request)
+	h.Set(loadHeader, strconv.Itoa(int(load*loadScale)))
+	h.Set(pressureHeader, strconv.Itoa(int(pressure*loadScale)))
+}
+
 // writeReport adds what the entry daemon shall know of the answer.
 func writeReport(h http.Header, a *catkinrun.Answer, request string) {
-	h.Set(RequestHeader, request)
-	h.Set(loadHeader, strconv.Itoa(int(a.Load*loadScale)))
-	h.Set(pressureHeader, strconv.Itoa(int(a.Pressure*loadScale)))
+	writeState(h, request, a.Load, a.Pressure)
 	if a.Failed {
 		h.Set(failedHeader, "1")
 	}
--- a/filterer/verify.go
+++ b/filterer/verify.go
@@ -25,9 +25,7 @@
 		f.parts.Syncer.Saw(c.Envelope.Entry, c.Envelope.Version)
 	}
 	if c.Envelope.Version < snapshot.Version() && !permits(snapshot, c) {
-		refusal := refuseLater(catkinrun.ReasonStale, "a newer configuration does not allow the request")
-		refusal.Version = snapshot.Version()
-		return refusal
+		return refuseLater(catkinrun.ReasonStale, "a newer configuration does not allow the request")
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Envelope.TimeLeft+answerGrace)
 	return until(ctx, cancel, c, next)
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -36,6 +36,9 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 
+	reported   uint64 // of the dropped lines; only Serve uses it
+	reportedAt time.Time
+
 	mu     sync.Mutex
 	served allowance
 	failed allowance
@@ -111,18 +114,11 @@
 // Serve writes lines until ctx ends, and then those that are left. It implements
 // suture.Service.
 func (j *Journal) Serve(ctx context.Context) error {
-	report := time.NewTicker(reportEvery)
-	defer report.Stop()
-	reported := uint64(0)
 	for {
 		select {
 		case line := <-j.lines:
 			j.put(line)
-		case <-report.C:
-			if n := j.dropped.Load(); n > reported {
-				j.log.WithField("lines", n-reported).Info("journaler: lines left out")
-				reported = n
-			}
+			j.report()
 		case <-ctx.Done():
 			j.Flush()
 			return ctx.Err()
@@ -130,6 +126,16 @@
 	}
 }
 
+// report says now and then how many lines were left out.
+func (j *Journal) report() {
+	now, dropped := j.clock.Now(), j.dropped.Load()
+	if dropped == j.reported || now.Sub(j.reportedAt) < reportEvery {
+		return
+	}
+	j.log.WithField("lines", dropped-j.reported).Info("journaler: lines left out")
+	j.reported, j.reportedAt = dropped, now
+}
+
 // Flush writes the lines that wait.
 func (j *Journal) Flush() {
 	for {
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -62,14 +62,6 @@
 
 func (f *fleet) Members() []catkinrun.Member { return f.members }
 func (f *fleet) Count() int                  { return len(f.members) }
-func (f *fleet) Member(host string) (catkinrun.Member, bool) {
-	for _, m := range f.members {
-		if m.Host == host {
-			return m, true
-		}
-	}
-	return catkinrun.Member{}, false
-}
 
 func (d *daemon) Owner() broker.Owner { return d.broker.Owner() }
 func (d *daemon) Answered(epoch catkinrun.Revision, answer *broker.Answer) {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -104,14 +104,6 @@
 	return l.services[service]
 }
 
-// Member returns a member by host.
-func (l *Locator) Member(host string) (catkinrun.Member, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	m, ok := l.members[host]
-	return m, ok
-}
-
 // Members returns all members, sorted by host.
 func (l *Locator) Members() []catkinrun.Member {
 	l.mu.Lock()
