--- a/commander/daemon.go
+++ b/commander/daemon.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -34,6 +35,8 @@
 			}
 			system := clock.System{}
 			journal := journaler.New(system, c.OutOrStdout(), level)
+			log.SetFlags(0)
+			log.SetOutput(journal.Library())
 			d, err := daemon.New(settings, system, journal)
 			if err != nil {
 				return err
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -88,19 +88,37 @@
 		Method: c.Method, URL: target, Host: c.Domain,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: c.Header.Clone(),
-		Body:   onceReader{bytes.NewReader(c.Body)},
 	}
 	if len(request.Header["User-Agent"]) == 0 {
 		request.Header["User-Agent"] = []string{""} // else the library adds its own
 	}
-	request.ContentLength = int64(len(c.Body))
-	if c.Stream != nil {
-		request.Body = onceReader{c.Stream}
-		request.ContentLength = c.Length
-	}
+	request.Body, request.ContentLength = body(c)
 	return request.WithContext(ctx)
 }
 
+// body returns a body that the transport cannot read again, and its length.
+func body(c *catkinrun.Call) (io.ReadCloser, int64) {
+	switch {
+	case c.Stream != nil:
+		return onceReader{c.Stream}, c.Length
+	case len(c.Body) > 0:
+		return io.NopCloser(bytes.NewReader(c.Body)), int64(len(c.Body))
+	case repeatedByTransport(c):
+		return onceReader{http.NoBody}, 0
+	}
+	return http.NoBody, 0
+}
+
+// repeatedByTransport reports whether the transport would send a request without a body
+// again by itself.
+func repeatedByTransport(c *catkinrun.Call) bool {
+	switch c.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return c.Header["Idempotency-Key"] != nil || c.Header["X-Idempotency-Key"] != nil
+}
+
 // Exchange is one request's answer and the means to end its connection.
 type Exchange struct {
 	Answer *catkinrun.Answer
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,17 @@
 	return len(line), nil
 }
 
+// Library returns a writer for what libraries log by themselves, a line each.
+func (j *Journal) Library() io.Writer { return library{j} }
+
+type library struct{ journal *Journal }
+
+// Write implements io.Writer.
+func (l library) Write(line []byte) (int, error) {
+	l.journal.Failed(logrus.Fields{"text": strings.TrimSpace(string(line))}, "journaler: a library reports")
+	return len(line), nil
+}
+
 // Served writes a line of a request that was served, if there is room for it.
 func (j *Journal) Served(fields logrus.Fields, message string) {
 	if j.allow(&j.served, servedPerSecond) {
