--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,6 +53,9 @@
 	peerConnections   = 32
 	serverConnections = 256
 	storeConnections  = 4
+	// membersPause is the wait between two looks at changed members. A server that leaves
+	// is refused by its own daemon meanwhile; many that join come with one call.
+	membersPause = 150 * time.Millisecond
 	// firstSlots is assumed until the server announces itself.
 	firstSlots = 1
 	// memoryPart is the part of the allowed memory at which the collector works harder.
@@ -112,8 +115,8 @@
 	d.broker = broker.New(store, d.locator, d.configurer, d.clock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: self.Incarnation}, d.stopped)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host)
-	d.configuration = follower.New(store, d.clock, d.log, platform.ConfigurationTable, d.applyConfiguration)
-	d.members = follower.New(store, d.clock, d.log, locator.Table, d.applyMembers)
+	d.configuration = follower.New(store, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
+	d.members = follower.New(store, d.clock, d.log, locator.Table, membersPause, d.applyMembers)
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
 	d.syncer = syncer.New(d.configurer, d.locator, d.peers, d.clock, d.log, s.Listen.Peer, failing)
 	d.admitter = admitter.New(firstSlots, d.clock)
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -24,7 +24,9 @@
 
 // Process chooses the host and notes how the attempt there ended.
 func (f *route) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
-	choice, ok := f.router.Choose(c.Envelope.Service, c.Tried)
+	choice, ok := f.router.Choose(router.Wish{
+		Service: c.Envelope.Service, Route: c.Envelope.Route, Objective: objectiveOf(c.Route), Tried: c.Tried,
+	})
 	if !ok {
 		return refuseLater(catkinrun.ReasonNoServer, "no backend server of "+c.Envelope.Service+" is ready")
 	}
@@ -53,6 +55,7 @@
 		result = router.Failed
 	}
 	f.router.Ended(c.Host, result, c.Answer.Load)
+	f.router.Took(c.Host, c.Envelope.Route, f.clock.Now().Sub(startedAt))
 	fields["status"], fields["load"] = c.Answer.Status, c.Answer.Load
 	f.journal.Served(fields, "route: attempt answered")
 	return nil
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -18,7 +18,7 @@
 const (
 	// watchWait is the time that one watch asks for. Keep-alive probes find a silent
 	// connection within it; it only bounds what they miss.
-	watchWait = 10 * time.Second
+	watchWait = 25 * time.Second
 	// firstRetry is the wait after a failed call; it doubles up to lastRetry, so that a
 	// store that returns is read within two seconds by every daemon.
 	firstRetry = 100 * time.Millisecond
@@ -34,6 +34,7 @@
 	clock catkinrun.Clock
 	log   logrus.FieldLogger
 	table string
+	pause time.Duration
 	apply Apply
 
 	revision catkinrun.Revision
@@ -43,9 +44,10 @@
 	seenAt   atomic.Int64 // nanoseconds of the clock at the last answer
 }
 
-// New returns a follower that hands each change of the table to apply, in order.
-func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, apply Apply) *Follower {
-	return &Follower{store: store, clock: clock, log: log, table: table, apply: apply, retry: firstRetry}
+// New returns a follower that hands each change of the table to apply, in order. After
+// a change it waits for pause, so that several changes come with one call.
+func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, pause time.Duration, apply Apply) *Follower {
+	return &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, retry: firstRetry}
 }
 
 // Failing reports whether the last call to the store failed.
@@ -94,11 +96,12 @@
 	if err != nil {
 		return err
 	}
-	if len(page.Rows) > 0 {
-		f.apply(page, false)
-	}
 	f.revision = max(f.revision, page.Revision)
-	return nil
+	if len(page.Rows) == 0 {
+		return nil
+	}
+	f.apply(page, false)
+	return f.clock.Wait(ctx, f.pause)
 }
 
 func (f *Follower) succeeded() {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -55,7 +55,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var applied []string
-	f := follower.New(s, clock.NewFake(), log, "t", func(p catkinrun.Page, whole bool) {
+	f := follower.New(s, clock.NewFake(), log, "t", 0, func(p catkinrun.Page, whole bool) {
 		for _, row := range p.Rows {
 			applied = append(applied, row.Key)
 		}
@@ -75,7 +75,7 @@
 	s := &store{answers: []answer{{page: page(1)}, {err: &catkinrun.StoreError{}}, {page: page(2)}}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := follower.New(s, clock.NewFake(), log, "t", func(catkinrun.Page, bool) {})
+	f := follower.New(s, clock.NewFake(), log, "t", 0, func(catkinrun.Page, bool) {})
 	is.NoErr(f.Step(context.Background()))
 	is.True(f.Step(context.Background()) != nil)
 	is.NoErr(f.Step(context.Background()))
--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,6 @@
 // Package router chooses the backend server for a request: the least loaded one, with
-// the own availability zone preferred, and those that fail or cannot be reached avoided
-// in proportion.
+// the own availability zone preferred, and those that are slow for what the request
+// wants, fail or cannot be reached avoided in proportion.
 package router
 
 import (
@@ -27,6 +27,14 @@
 	// failureMemory is the time in which a server's failures fade if it gets no requests,
 	// so that it is tried again.
 	failureMemory = 3 * time.Second
+	// latencyPenalty is the load by which a server counts as fuller that takes as long as
+	// the whole objective: of two half full ones, one that takes a fifth of it is preferred
+	// to one that takes three fifths until it is fuller by a fifth.
+	latencyPenalty = 0.5
+	// latencyWeight weighs one more answer's time against the mean.
+	latencyWeight = 0.1
+	// latencyMemory is the time in which a mean fades if the server gets no such requests.
+	latencyMemory = 3 * time.Second
 	// fewFailures is the part of failed requests that any server may have.
 	fewFailures = 0.01
 	// reportLife is how long a server's word about its load counts.
@@ -59,6 +67,13 @@
 	failedAt    time.Time
 	aside       time.Duration
 	asideUntil  time.Time
+	times       map[string]timing // by route
+}
+
+// timing is how long a server's answers to a route's requests take.
+type timing struct {
+	mean time.Duration
+	at   time.Time
 }
 
 // Router chooses servers. It is safe for concurrent use.
@@ -85,9 +100,17 @@
 	Among  int     // servers that could have been chosen
 }
 
-// Choose picks a host for a service, other than those tried. ok is false if there is none.
-func (r *Router) Choose(service string, tried []string) (choice Choice, ok bool) {
-	candidates := r.members.Serving(service)
+// Wish is what a request needs of a server.
+type Wish struct {
+	Service   string
+	Route     string
+	Objective time.Duration // latency wanted
+	Tried     []string      // hosts that it has been offered to
+}
+
+// Choose picks a host, other than those tried. ok is false if there is none.
+func (r *Router) Choose(w Wish) (choice Choice, ok bool) {
+	candidates := r.members.Serving(w.Service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
@@ -96,14 +119,14 @@
 	compared := 0
 	for i := range candidates {
 		m := candidates[(offset+i)%len(candidates)]
-		if slices.Contains(tried, m.Host) {
+		if slices.Contains(w.Tried, m.Host) {
 			continue
 		}
 		s := r.serverLocked(m.Host, m.Incarnation)
 		if now.Before(s.asideUntil) {
 			continue
 		}
-		if score := r.scoreLocked(s, m, now); score < best {
+		if score := r.scoreLocked(s, m, w, now); score < best {
 			best = score
 			choice.Member = m
 		}
@@ -116,7 +139,7 @@
 	if compared > 0 {
 		return choice, true
 	}
-	return r.lastResortLocked(candidates, tried)
+	return r.lastResortLocked(candidates, w.Tried)
 }
 
 // lastResortLocked returns the host that has been set aside for the least time yet,
@@ -134,7 +157,7 @@
 	return choice, ok
 }
 
-func (r *Router) scoreLocked(s *server, m catkinrun.Member, now time.Time) float64 {
+func (r *Router) scoreLocked(s *server, m catkinrun.Member, w Wish, now time.Time) float64 {
 	score := float64(s.inFlight) / float64(m.Server.Slots)
 	if now.Sub(s.reportedAt) < reportLife {
 		score = max(score, s.reported)
@@ -142,6 +165,10 @@
 	if m.Zone != r.zone {
 		score += zonePenalty
 	}
+	if t, ok := s.times[w.Route]; ok && w.Objective > 0 {
+		part := min(1, t.mean.Seconds()/w.Objective.Seconds())
+		score += latencyPenalty * part * math.Exp(-now.Sub(t.at).Seconds()/latencyMemory.Seconds())
+	}
 	failures := s.failures * math.Exp(-now.Sub(s.failedAt).Seconds()/failureMemory.Seconds())
 	if failures < fewFailures {
 		return score // else a server that failed once would lose every tie for good
@@ -211,6 +238,24 @@
 	s.failedAt = now
 }
 
+// Took notes how long a host's answer to a request of a route took.
+func (r *Router) Took(host, route string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.servers[host]
+	if !ok {
+		return
+	}
+	if s.times == nil {
+		s.times = make(map[string]timing)
+	}
+	mean := took
+	if before, ok := s.times[route]; ok {
+		mean = before.mean + time.Duration(latencyWeight*float64(took-before.mean))
+	}
+	s.times[route] = timing{mean: mean, at: r.clock.Now()}
+}
+
 // serverLocked returns the state of a host; that of an earlier incarnation is dropped.
 func (r *Router) serverLocked(host, incarnation string) *server {
 	s, ok := r.servers[host]
@@ -219,7 +264,7 @@
 		r.servers[host] = s
 	}
 	if s.incarnation != incarnation {
-		s.incarnation, s.aside, s.asideUntil, s.failures = incarnation, 0, time.Time{}, 0
+		*s = server{incarnation: incarnation, inFlight: s.inFlight}
 	}
 	return s
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -32,7 +32,7 @@
 func choose(r *router.Router, n int, result func(host string) router.Result) map[string]int {
 	counts := make(map[string]int)
 	for range n {
-		choice, ok := r.Choose("s", nil)
+		choice, ok := r.Choose(router.Wish{Service: "s", Route: "r", Objective: 200 * time.Millisecond})
 		if !ok {
 			continue
 		}
@@ -54,10 +54,10 @@
 func TestLoadedServerIsLeft(t *testing.T) {
 	is := is.New(t)
 	r, _ := newRouter(members{member("far", "zone-b"), member("near", "zone-a")})
-	choice, _ := r.Choose("s", nil)
+	choice, _ := r.Choose(router.Wish{Service: "s", Route: "r", Objective: 200 * time.Millisecond})
 	r.Started(choice.Member.Host)
 	r.Ended("near", router.Served, 0.9)
-	choice, _ = r.Choose("s", nil)
+	choice, _ = r.Choose(router.Wish{Service: "s", Route: "r", Objective: 200 * time.Millisecond})
 	is.Equal(choice.Member.Host, "far")
 }
 
@@ -96,3 +96,23 @@
 	counts := choose(r, 3, func(string) router.Result { return router.Unreachable })
 	is.Equal(counts["only"], 3) // never nobody
 }
+
+func TestSlowServerIsAvoidedByRequestsInAHurry(t *testing.T) {
+	is := is.New(t)
+	r, c := newRouter(members{member("slow", "zone-a"), member("fast", "zone-a")})
+	took := map[string]time.Duration{"slow": 150 * time.Millisecond, "fast": 50 * time.Millisecond}
+	count := func(objective time.Duration) map[string]int {
+		counts := make(map[string]int)
+		for range 100 {
+			choice, _ := r.Choose(router.Wish{Service: "s", Route: "r", Objective: objective})
+			counts[choice.Member.Host]++
+			r.Started(choice.Member.Host)
+			r.Ended(choice.Member.Host, router.Served, -1)
+			r.Took(choice.Member.Host, "r", took[choice.Member.Host])
+		}
+		return counts
+	}
+	is.True(count(200 * time.Millisecond)["fast"] > 90)
+	c.Advance(time.Minute)
+	is.True(count(200 * time.Millisecond)["slow"] > 0) // tried again once that is long ago
+}
