--- a/admitter/pressure.go
+++ b/admitter/pressure.go
@@ -12,7 +12,7 @@
 	pressureNow = 0.15
 	// targetLoad is the load at which the pressure neither rises nor falls. Calls go before
 	// new requests, so some room must be left or the latter would never be served here.
-	targetLoad = 0.85
+	targetLoad = 0.95
 	// mostRise and mostFall bound the excess that counts, so that a long queue does not
 	// close the way at once and an idle second does not open it whole.
 	mostRise = 1.0
--- a/filterer/limit.go
+++ b/filterer/limit.go
@@ -12,6 +12,10 @@
 // team's rate, twice, across availability zones.
 const limitPatience = 30 * time.Millisecond
 
+// rateBackPart is the part of the objective after which a caller whose team is above its
+// rate is asked to try again: tokens come evenly, so that an early try may find one.
+const rateBackPart = 0.2
+
 type limit struct {
 	limiter *limiter.Limiter
 }
@@ -24,7 +28,7 @@
 	if c.Envelope.Team != "" {
 		if err := f.limiter.Take(ctx, c.Envelope.Team, limitPatience); err != nil {
 			refusal := *asRefusal(err)
-			refusal.RetryAfter = max(refusal.RetryAfter, comeBack(c.Route))
+			refusal.RetryAfter = max(refusal.RetryAfter, time.Duration(rateBackPart*float64(objectiveOf(c.Route))))
 			return &refusal
 		}
 	}
