A daemon that is about to end begins no request any more

Change: after half of the time to stop, what comes on open connections is refused at once, not run; only what began before is waited for. Test: TestRequestOnAnOpenConnectionIsNotBegunAtTheEnd.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,6 +87,7 @@
 	services      []suture.Service
 	listeners     []*listener
 	leaving       atomic.Bool
+	stopping      atomic.Bool  // takes no new requests
 	running       atomic.Int64 // requests of callers and of other daemons
 }
 
@@ -125,7 +126,7 @@
 		Configurer: d.configurer, Learner: learner.New(), Leveler: leveler.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
 		Budget: retrier.New(float64(s.Retries), d.locator.Count), Registrar: d.registrar, Admitter: d.admitter, Syncer: d.syncer,
 		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdle, serverConnections),
-		Clock: d.clock, Journal: d.journal,
+		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
 	}
 	d.gateway = filterer.NewGateway(parts, rand.Float64, d.count)
 	d.services = []suture.Service{d.journal, d.configuration, d.members, d.registrar, d.broker, d.limiter, d.syncer}
@@ -191,8 +192,9 @@
 }
 
 const (
-	// servePart is the part of the time to stop during which new connections are taken as
-	// before: the platform takes a daemon out after two answers a second apart.
+	// servePart is the part of the time to stop during which new requests are taken: the
+	// platform takes a daemon out after two answers a second apart. What comes later, on
+	// open connections, is refused, since it might be cut.
 	servePart = 0.5
 	// endPart is the part after which the process ends in any case: in the last sixth a
 	// request that still runs may be cut, and the process needs some time to end.
@@ -217,6 +219,7 @@
 	d.registrar.Leave()
 	d.log.WithField("running", d.running.Load()).Info("daemon: leaving")
 	d.waitUntil(ctx, startedAt.Add(time.Duration(servePart*float64(stop))))
+	d.stopping.Store(true)
 	for _, name := range []string{"caller", "peer"} {
 		d.find(name).refuse()
 	}
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -49,6 +49,9 @@
 		if facts.ID == "" {
 			err = refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the request has no id")
 		}
+		if err == nil {
+			err = g.stopping()
+		}
 		if err == nil {
 			err = g.caller(r.Context(), c)
 		}
@@ -73,6 +76,9 @@
 		} else {
 			err = g.readBody(w, r, c)
 		}
+		if err == nil {
+			err = g.stopping()
+		}
 		if err == nil {
 			err = g.peer(r.Context(), c)
 		}
@@ -88,6 +94,15 @@
 	})
 }
 
+// stopping refuses what comes on open connections when the process is about to end, so
+// that nothing that runs is cut.
+func (g *Gateway) stopping() error {
+	if !g.parts.Stopping() {
+		return nil
+	}
+	return refuseLater(catkinrun.ReasonLeaving, "this daemon is about to stop")
+}
+
 func (g *Gateway) newCall(r *http.Request) *catkinrun.Call {
 	c := &catkinrun.Call{
 		Method: r.Method, Domain: r.Host, URL: r.URL, Target: r.RequestURI, Header: r.Header,
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -62,6 +62,11 @@
 
 // newHost returns a daemon's gateway whose server is at address.
 func newHost(t *testing.T, address string) *filterer.Gateway {
+	return newStoppingHost(t, address, false)
+}
+
+// newStoppingHost is newHost for a daemon that may be about to stop.
+func newStoppingHost(t *testing.T, address string, stopping bool) *filterer.Gateway {
 	t.Helper()
 	is := is.New(t)
 	system := clock.System{}
@@ -92,7 +97,7 @@
 		Router:  router.New(hosts, system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
 		Registrar: reg, Admitter: adm, Syncer: syncer.New(conf, hosts, nil, system, log, self.Peer, func() bool { return false }),
 		Peers: exchanger.New(time.Second, time.Second, 4), Backend: exchanger.New(time.Second, time.Second, 4),
-		Clock: system, Journal: journal,
+		Stopping: func() bool { return stopping }, Clock: system, Journal: journal,
 	}, func() float64 { return 0.5 }, func(filterer.Stage, string, time.Duration) {})
 }
 
@@ -252,3 +257,14 @@
 	is.Equal(w.Code, http.StatusServiceUnavailable) // nobody has run it
 	is.True(w.Header().Get("Retry-After") != "" || w.Header().Get(filterer.OutcomeHeader) == string(catkinrun.NotRun))
 }
+
+// TestRequestOnAnOpenConnectionIsNotBegunAtTheEnd asks a daemon that is about to stop.
+func TestRequestOnAnOpenConnectionIsNotBegunAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	g := newStoppingHost(t, raw(t, func(*http.Request) string { runs.Add(1); return closing }), true)
+	w := call(g, http.MethodPost, orderPath, key)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get(filterer.OutcomeHeader), string(catkinrun.NotRun))
+	is.Equal(runs.Load(), int64(0)) // it could not end before the process does
+}
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -45,6 +45,7 @@
 	Syncer     *syncer.Syncer
 	Peers      *exchanger.Exchanger // to other daemons
 	Backend    *exchanger.Exchanger // to the backend server beside this daemon
+	Stopping   func() bool          // no new request could end before the process does
 	Clock      catkinrun.Clock
 	Journal    *journaler.Journal
 }
