--- a/broker/election.go
+++ b/broker/election.go
@@ -13,16 +13,16 @@
 // implements suture.Service.
 func (b *Broker) Serve(ctx context.Context) error {
 	for {
-		b.Look(ctx, true)
+		b.Look(ctx)
 		if err := b.clock.Wait(ctx, lookEvery); err != nil {
 			return err
 		}
 	}
 }
 
-// Look claims the ownership if this daemon is the one to do so and the store is there.
-func (b *Broker) Look(ctx context.Context, reachable bool) {
-	if reachable && b.mustClaim() {
+// Look claims the ownership if this daemon is the one to do so.
+func (b *Broker) Look(ctx context.Context) {
+	if b.mustClaim() {
 		b.claim(ctx)
 	}
 }
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -119,8 +119,8 @@
 		}
 		if !d.cut {
 			d.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}})
+			d.broker.Look(context.Background())
 		}
-		d.broker.Look(context.Background(), !d.cut)
 		d.limiter.Round(context.Background())
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -47,7 +47,6 @@
 	heard     bool // the server has announced itself to this incarnation of the daemon
 	down      bool // the server refused a connection since its last announcement
 	coldUntil time.Time
-	heardAt   time.Time
 	ended     []ending
 	waiters   []chan struct{}
 }
@@ -123,8 +122,8 @@
 	if before != nil && before.ID != s.ID {
 		r.endLocked(*before)
 	}
-	r.heard, r.down, r.heardAt = true, false, r.clock.Now()
-	r.coldUntil = r.heardAt.Add(s.Cold)
+	r.heard, r.down = true, false
+	r.coldUntil = r.clock.Now().Add(s.Cold)
 	if before != nil && before.ID == s.ID && before.Born == s.Born && before.Draining {
 		s.Draining = true // a server that leaves does not come back under the same start
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -169,7 +169,7 @@
 		part := min(1, t.mean.Seconds()/w.Objective.Seconds())
 		score += latencyPenalty * part * math.Exp(-now.Sub(t.at).Seconds()/latencyMemory.Seconds())
 	}
-	failures := s.failures * math.Exp(-now.Sub(s.failedAt).Seconds()/failureMemory.Seconds())
+	failures := s.failing(now)
 	if failures < fewFailures {
 		return score // else a server that failed once would lose every tie for good
 	}
@@ -230,14 +230,16 @@
 }
 
 func (s *server) noteLocked(now time.Time, failed float64) {
-	fading := math.Exp(-now.Sub(s.failedAt).Seconds() / failureMemory.Seconds())
-	if s.failedAt.IsZero() {
-		fading = 0
-	}
-	s.failures = s.failures*fading + failureWeight*(failed-s.failures*fading)
+	failures := s.failing(now)
+	s.failures = failures + failureWeight*(failed-failures)
 	s.failedAt = now
 }
 
+// failing returns the part of failed requests, faded up to now.
+func (s *server) failing(now time.Time) float64 {
+	return s.failures * math.Exp(-now.Sub(s.failedAt).Seconds()/failureMemory.Seconds())
+}
+
 // Took notes how long a host's answer to a request of a route took.
 func (r *Router) Took(host, route string, took time.Duration) {
 	r.mu.Lock()
--- a/store.go
+++ b/store.go
@@ -20,8 +20,7 @@
 // Page is rows of a table as of one revision.
 type Page struct {
 	Rows     []Row
-	Revision Revision      // of the store, when it answered
-	Now      time.Duration // the store's steady clock
+	Revision Revision // of the store, when it answered
 }
 
 // Check is a condition of a transaction: the row still has this revision.
