Calls inherit the class of their request; pressure by class from the demand that callers make

The pressure was one number for all classes, an integral of the load with its queue, which goes on long after its cause; calls went before all new requests. Ruled out: processor time (35 percent of what the machines have), uneven use of the servers (busiest to mean 1.2 to 1.4). Change: the learner tells the request that a call is made for; the call has its class. Each request carries the weight of those that its entry refused, so that a server knows what callers want whatever the entries refuse, and works the pressure of each class out from it instead of closing a loop over half a second of delay. Calls wait for a quarter of their objective instead of half of their time left.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -21,9 +21,10 @@
 	// patiencePart is the part of a request's objective for which it may wait. A refusal
 	// within an eighth of the objective leaves the caller time to try again.
 	patiencePart = 0.125
-	// callPatience is the part of a call's time left for which it may wait: refusing it
-	// wastes the work of the request that made it.
-	callPatience = 0.5
+	// callPatience is the same for a call, longer since refusing it wastes the work of the
+	// request that made it. Waits add up along the calls of a request, which holds slots of
+	// other servers meanwhile.
+	callPatience = 0.25
 	// callQueue is the number of calls per slot that may wait; of other requests one may.
 	// Calls are short, and their patience bounds the wait.
 	callQueue = 2
@@ -95,17 +96,21 @@
 
 // patience is the longest wait of a request in the queue.
 func patience(e catkinrun.Envelope) time.Duration {
+	part := patiencePart
 	if e.Call {
-		return time.Duration(callPatience * float64(e.TimeLeft))
+		part = callPatience
 	}
-	return time.Duration(patiencePart * float64(min(e.TimeLeft, e.Objective)))
+	return time.Duration(part * float64(min(e.TimeLeft, e.Objective)))
 }
 
 // enter takes a slot at once, queues, or refuses. A nil waiter has its slot.
 func (a *Admitter) enter(e catkinrun.Envelope) (*waiter, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.pressure.follow(a.clock.Now(), a.loadLocked())
+	a.followLocked()
+	if e.Attempt == 0 { // else it has been counted where it was refused
+		a.pressure.arrive(e.Class(), a.services[e.Route], e.Weight)
+	}
 	if expected := a.services[e.Route]; e.TimeLeft < expected/2 {
 		// Without runs nothing else would correct an estimate from a slow time.
 		a.services[e.Route] = time.Duration(estimateDecay * float64(expected))
@@ -116,7 +121,7 @@
 		a.counts.Admitted++
 		return nil, nil
 	}
-	w := &waiter{envelope: e, decided: make(chan error, 1)}
+	w := &waiter{envelope: e, service: a.services[e.Route], decided: make(chan error, 1)}
 	a.queue.push(w)
 	a.counts.Queued++
 	a.fillLocked()
@@ -184,27 +189,31 @@
 	}
 }
 
-// Release gives a slot back after a run of the route that took so long. A run
-// that was cut short says nothing about the service time and passes 0.
-func (a *Admitter) Release(route string, took time.Duration) {
+// Release gives the slot of a request back after a run that took so long. A run that was
+// cut short says nothing about the service time and passes 0.
+func (a *Admitter) Release(e catkinrun.Envelope, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if took > 0 {
-		mean, ok := a.services[route]
+		mean, ok := a.services[e.Route]
 		if !ok {
 			mean = took
 		}
-		a.services[route] = mean + time.Duration(serviceSmoothing*float64(took-mean))
+		a.services[e.Route] = mean + time.Duration(serviceSmoothing*float64(took-mean))
 	}
 	a.releaseLocked()
 }
 
 func (a *Admitter) releaseLocked() {
-	a.pressure.follow(a.clock.Now(), a.loadLocked())
+	a.followLocked()
 	a.inUse--
 	a.fillLocked()
 }
 
+func (a *Admitter) followLocked() {
+	a.pressure.follow(a.clock.Now(), a.capacityLocked(), &a.queue.work)
+}
+
 // Load returns the slots in use and waited for, per slot in use at most.
 func (a *Admitter) Load() float64 {
 	a.mu.Lock()
@@ -216,12 +225,12 @@
 	return float64(a.inUse+a.queue.size) / float64(a.capacityLocked())
 }
 
-// Pressure returns the part of new requests that the entries should not send here.
-func (a *Admitter) Pressure() float64 {
+// Pressure returns the part of the new requests that the entries should not send here.
+func (a *Admitter) Pressure() catkinrun.Pressure {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.pressure.follow(a.clock.Now(), a.loadLocked())
-	return a.pressure.now()
+	a.followLocked()
+	return a.pressure.parts
 }
 
 // Counts returns a copy of the totals.
--- a/admitter/pressure.go
+++ b/admitter/pressure.go
@@ -1,45 +1,73 @@
 package admitter
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/catkinrun/catkinrun"
+)
 
 const (
-	// pressureGain is the part of the new requests by which the pressure rises in a second
-	// for each load of excess. A request and its calls take up to a second, so a higher
-	// gain would swing.
-	pressureGain = 0.8
-	// pressureNow is the part by which one load of excess counts at once, before it has
-	// lasted: a full queue holds what a surge brings until the integral has risen.
-	pressureNow = 0.15
-	// targetLoad is the load at which the pressure neither rises nor falls. Calls go before
-	// new requests, so some room must be left or the latter would never be served here.
-	targetLoad = 0.95
-	// mostRise and mostFall bound the excess that counts, so that a long queue does not
-	// close the way at once and an idle second does not open it whole.
-	mostRise = 1.0
-	mostFall = 0.25
-	// maxPressure leaves a few requests that find out whether there is room.
-	maxPressure = 0.95
+	// targetDemand is the part of the usable slots that new arrivals may need. The rest is
+	// for what comes unevenly.
+	targetDemand = 0.92
+	// demandMemory is the time over which arrivals are counted: several times a call of a
+	// few tens of milliseconds, so that some tens of arrivals count.
+	demandMemory = 400 * time.Millisecond
+	// drainTime is the time in which the waiting work should be done: a longer queue takes
+	// room from new arrivals.
+	drainTime = 200 * time.Millisecond
+	// followEvery is the least time between two steps of the pressure.
+	followEvery = 5 * time.Millisecond
+	// maxPressure leaves a few requests that find out whether there is room, and keeps any
+	// team's requests from being refused altogether.
+	maxPressure = 0.9
 )
 
-// pressure is the part of new requests that the entries should not send here. It is
-// the integral of the load's excess over time.
+// pressure is the part of each class's new requests that the entries should not send
+// here, worked out from the demand: the slots that would be busy if all that callers want
+// ran at once. Each arrival counts for those of its kind that the entry refused, so that
+// the demand does not depend on the pressure and nothing swings. Room goes to the classes
+// in order of urgency, so that work is refused for what is as urgent or more, and never
+// for what would wait behind it.
 type pressure struct {
-	part   float64
-	excess float64
+	parts  catkinrun.Pressure
+	demand [catkinrun.ClassCount]float64 // slots, by class
 	at     time.Time
 }
 
-// now returns the part that the integral and the present excess make together.
-func (p *pressure) now() float64 {
-	return min(p.part+pressureNow*max(0, p.excess), maxPressure)
+// arrive counts a request that needs a slot for the service time. weight is the number of
+// requests that callers made for each that the entry sent. What was refused beyond this
+// server's own pressure was so for another server, and would not come here.
+func (p *pressure) arrive(class int, service time.Duration, weight float64) {
+	own := 1 / (1 - p.parts[class])
+	p.demand[class] += service.Seconds() / demandMemory.Seconds() * min(max(1, weight), own)
 }
 
-// follow brings the pressure up to now, given the load since the last time.
-func (p *pressure) follow(now time.Time, load float64) {
+// follow brings the pressure up to now for a server with so many usable slots, and with
+// work of so many seconds waiting in each class.
+func (p *pressure) follow(now time.Time, capacity int, waiting *[catkinrun.ClassCount]float64) {
 	if p.at.IsZero() {
 		p.at = now
 	}
-	p.excess = min(max(load-targetLoad, -mostFall), mostRise)
-	p.part = min(max(0, p.part+pressureGain*p.excess*now.Sub(p.at).Seconds()), maxPressure)
+	elapsed := now.Sub(p.at)
+	if elapsed < followEvery {
+		return
+	}
 	p.at = now
+	remaining := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
+	room := targetDemand * float64(capacity)
+	for class := range p.demand {
+		p.demand[class] *= remaining
+		room -= waiting[class] / drainTime.Seconds()
+		through := 1.0
+		if p.demand[class] > room {
+			through = max(room/p.demand[class], 1-maxPressure)
+		}
+		p.parts[class] = 1 - through
+		room -= through * p.demand[class]
+	}
+	for class := 1; class < len(p.parts); class++ {
+		p.parts[class] = max(p.parts[class], p.parts[class-1]) // a class without demand
+	}
 }
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -1,32 +1,48 @@
 package admitter
 
-import "github.com/catkinrun/catkinrun"
+import (
+	"time"
+
+	"github.com/catkinrun/catkinrun"
+)
 
 // waiter is a queued request. Its channel gets nil when it may run, or a refusal.
 type waiter struct {
 	envelope catkinrun.Envelope
 	decided  chan error
-	finish   float64 // virtual finish time in its team's share
+	service  time.Duration // that it will need, as far as known
+	finish   float64       // virtual finish time in its team's share
 	queued   bool
 }
 
-// queue orders waiting requests: by class, then by the teams' virtual times, so that
-// within a class each team gets an even part of the slots.
+// queue orders waiting requests: by class, in each the calls of running requests first,
+// then by the teams' virtual times, so that within a class each team gets an even part of
+// the slots.
 type queue struct {
-	lanes [catkinrun.ClassCount]lane
+	lanes [2 * catkinrun.ClassCount]lane
+	work  [catkinrun.ClassCount]float64 // seconds of service that wait, by class
 	size  int
 }
 
-// lane holds the waiters of one class.
+// lane holds the waiters of one class, calls or others.
 type lane struct {
 	waiters []*waiter
 	virtual float64            // finish time of the last waiter that ran
 	last    map[string]float64 // finish time of each team's last waiter
 }
 
+// lane returns the lane of a request.
+func (q *queue) lane(e catkinrun.Envelope) *lane {
+	at := 2 * e.Class()
+	if !e.Call {
+		at++
+	}
+	return &q.lanes[at]
+}
+
 // push adds a waiter behind its team's others.
 func (q *queue) push(w *waiter) {
-	l := &q.lanes[w.envelope.Class()]
+	l := q.lane(w.envelope)
 	if l.last == nil {
 		l.last = make(map[string]float64)
 	}
@@ -35,12 +51,13 @@
 	w.queued = true
 	l.waiters = append(l.waiters, w)
 	q.size++
+	q.work[w.envelope.Class()] += w.service.Seconds()
 }
 
 // pop removes the next waiter, nil if there is none.
 func (q *queue) pop() *waiter {
-	for class := range q.lanes {
-		l := &q.lanes[class]
+	for i := range q.lanes {
+		l := &q.lanes[i]
 		if len(l.waiters) == 0 {
 			continue
 		}
@@ -67,7 +84,7 @@
 	if !w.queued {
 		return
 	}
-	l := &q.lanes[w.envelope.Class()]
+	l := q.lane(w.envelope)
 	for i, other := range l.waiters {
 		if other == w {
 			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
@@ -76,6 +93,8 @@
 	}
 	w.queued = false
 	q.size--
+	class := w.envelope.Class()
+	q.work[class] = max(0, q.work[class]-w.service.Seconds())
 	if len(l.waiters) == 0 {
 		l.last = nil // the next busy period starts even
 		l.virtual = 0
@@ -85,8 +104,8 @@
 // last returns the waiter to drop when the queue is full: of the least urgent class
 // the team that waits with most, and of its waiters the last.
 func (q *queue) last() *waiter {
-	for class := len(q.lanes) - 1; class >= 0; class-- {
-		waiters := q.lanes[class].waiters
+	for i := len(q.lanes) - 1; i >= 0; i-- {
+		waiters := q.lanes[i].waiters
 		if len(waiters) == 0 {
 			continue
 		}
--- a/envelope.go
+++ b/envelope.go
@@ -1,6 +1,7 @@
 package catkinrun
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -74,17 +75,19 @@
 	Urgency    Priority      `cbor:"15,keyasint"`           // of the team; the route's if the team has none
 	Call       bool          `cbor:"10,keyasint,omitempty"` // made by a backend server while it works on a request
 	Idempotent bool          `cbor:"11,keyasint,omitempty"`
-	TimeLeft   time.Duration `cbor:"12,keyasint"` // when sent
-	Objective  time.Duration `cbor:"13,keyasint"` // what is left of the latency wanted, when sent
-	Attempt    int           `cbor:"14,keyasint"` // 0 for the first
+	TimeLeft   time.Duration `cbor:"12,keyasint"`           // when sent
+	Objective  time.Duration `cbor:"13,keyasint"`           // what is left of the latency wanted, when sent
+	Attempt    int           `cbor:"14,keyasint"`           // 0 for the first
+	Parent     int           `cbor:"16,keyasint,omitempty"` // class of the request that a call is made for, 0 if unknown
+	Weight     float64       `cbor:"17,keyasint,omitempty"` // requests that callers made for each that the entry sent, 0 for 1
 }
 
-// Class is the request's place under overload: 0 for calls of running requests, whose
-// refusal would waste the work done so far, then the teams' priorities, and within
-// each the routes'.
+// Class is the request's place under overload: by its team's priority, and within each by
+// its route's. A call has the class of the request that it is made for, 0 if that is not
+// known, since its refusal would waste the work done so far.
 func (e Envelope) Class() int {
 	if e.Call {
-		return 0
+		return e.Parent
 	}
 	return 1 + PriorityCount*min(int(e.Urgency), PriorityCount-1) + min(int(e.Priority), PriorityCount-1)
 }
@@ -96,6 +99,10 @@
 		return &InvalidError{Where: "envelope", Field: "request", Reason: "missing or too long"}
 	case e.Priority < 0 || e.Urgency < 0:
 		return &InvalidError{Where: "envelope", Field: "priority", Reason: "negative"}
+	case e.Parent < 0 || e.Parent >= ClassCount:
+		return &InvalidError{Where: "envelope", Field: "parent", Reason: "no such class"}
+	case math.IsNaN(e.Weight) || e.Weight < 0:
+		return &InvalidError{Where: "envelope", Field: "weight", Reason: "expected a number of at least 0"}
 	case e.TimeLeft <= 0:
 		return &InvalidError{Where: "envelope", Field: "time-left", Reason: "expected more than 0"}
 	}
--- a/errors.go
+++ b/errors.go
@@ -78,7 +78,7 @@
 	Detail     string        // one sentence for the caller
 	Reached    bool          // bytes of the request went to a backend server
 	Load       float64       // of the server that refused, 0 if none did
-	Pressure   float64       // part of the new requests that should not be sent; 0 if unknown
+	Pressure   *Pressure     // at the servers on the route's way, nil if unknown
 }
 
 func (r *Refusal) Error() string { return fmt.Sprintf("refused: %s: %s", r.Reason, r.Detail) }
--- a/filter.go
+++ b/filter.go
@@ -38,7 +38,7 @@
 	Body     []byte        // whole body, if Stream is nil
 	Stream   io.ReadCloser // body that is still arriving
 	Load     float64       // load of the server's admission, per slot
-	Pressure float64       // part of the route's new requests that should not be sent
+	Pressure Pressure      // at the servers on the route's way
 	Version  Version       // configuration of the serving daemon
 	Failed   bool          // the server says that it failed
 }
--- a/filterer/admit.go
+++ b/filterer/admit.go
@@ -26,7 +26,8 @@
 	enteredAt := p.Clock.Now()
 	if err := p.Admitter.Acquire(ctx, c.Envelope); err != nil {
 		refusal := *asRefusal(err)
-		refusal.Pressure = f.pressure(c.Envelope.Route)
+		pressure := f.pressure(c.Envelope.Route)
+		refusal.Pressure = &pressure
 		f.log(c, server, "admit: "+refusal.Detail)
 		return &refusal
 	}
@@ -34,23 +35,22 @@
 	c.Envelope.TimeLeft -= startedAt.Sub(enteredAt)
 	err := next(ctx, c)
 	if err != nil {
-		p.Admitter.Release(c.Envelope.Route, 0)
+		p.Admitter.Release(c.Envelope, 0)
 		return err
 	}
 	c.Answer.OnEnd(func(bool) {
-		p.Admitter.Release(c.Envelope.Route, p.Clock.Now().Sub(startedAt))
+		p.Admitter.Release(c.Envelope, p.Clock.Now().Sub(startedAt))
 	})
 	c.Answer.Load = p.Admitter.Load()
 	c.Answer.Pressure = f.pressure(c.Envelope.Route)
 	return nil
 }
 
-// pressure returns the part of a route's new requests that should not be sent: for want
-// of room here, or at the servers that its requests call.
-func (f *admit) pressure(route string) float64 {
+// pressure returns the pressure here and at the servers that the route's requests call.
+func (f *admit) pressure(route string) catkinrun.Pressure {
 	most := f.parts.Admitter.Pressure()
 	for _, call := range f.parts.Learner.Calls(route) {
-		most = max(most, f.parts.Leveler.Pressure(call))
+		most = most.WithMost(f.parts.Leveler.Pressure(call))
 	}
 	return most
 }
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/exchanger"
+	"github.com/catkinrun/catkinrun/learner"
 )
 
 type forward struct {
@@ -24,7 +25,7 @@
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
 	startedAt := p.Clock.Now()
-	end := p.Learner.Begin(c.Envelope.Route, startedAt, startedAt.Add(c.Envelope.TimeLeft))
+	end := p.Learner.Begin(learner.Run{Route: c.Envelope.Route, Class: c.Envelope.Class(), Weight: c.Envelope.Weight}, startedAt, startedAt.Add(c.Envelope.TimeLeft))
 	defer end()
 	request := exchanger.Request(ctx, c, p.Server)
 	p.Dialect.TellServer(request.Header, catkinrun.ServerFacts{
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -21,7 +21,7 @@
 	OutcomeHeader  = "Catkinrun-Outcome"  // on refusals
 	ReasonHeader   = "Catkinrun-Reason"   // on refusals
 	loadHeader     = "Catkinrun-Load"     // daemon to daemon, in thousandths of the slots
-	pressureHeader = "Catkinrun-Pressure" // daemon to daemon, in thousandths
+	pressureHeader = "Catkinrun-Pressure" // daemon to daemon, CBOR in base64; missing for none
 	versionHeader  = "Catkinrun-Version"  // daemon to daemon
 	reachedHeader  = "Catkinrun-Reached"  // daemon to daemon, on refusals
 	failedHeader   = "Catkinrun-Failed"   // daemon to daemon
@@ -130,7 +130,9 @@
 	refusal := &catkinrun.Refusal{
 		Status: a.Status, Reason: catkinrun.Reason(a.Header.Get(ReasonHeader)), Outcome: outcome, Detail: p.Detail,
 		Load: float64(number(a.Header, loadHeader)) / loadScale, Reached: a.Header.Get(reachedHeader) != "",
-		Pressure: float64(number(a.Header, pressureHeader)) / loadScale,
+	}
+	if pressure, ok := readPressure(a.Header); ok {
+		refusal.Pressure = &pressure
 	}
 	if seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
 		refusal.RetryAfter = time.Duration(seconds * float64(time.Second))
@@ -139,15 +141,39 @@
 }
 
 // writeState says which request is meant and how its server is.
-func writeState(h http.Header, request string, load, pressure float64) {
+func writeState(h http.Header, request string, load float64, pressure *catkinrun.Pressure) {
 	h.Set(RequestHeader, request)
 	h.Set(loadHeader, strconv.Itoa(int(load*loadScale)))
-	h.Set(pressureHeader, strconv.Itoa(int(pressure*loadScale)))
+	if pressure == nil {
+		return
+	}
+	if steps := pressure.Steps(); len(steps) > 0 {
+		if raw, err := messenger.Encode(steps); err == nil { // a list of numbers always is
+			h.Set(pressureHeader, base64.RawURLEncoding.EncodeToString(raw))
+		}
+	}
+}
+
+// readPressure reads the pressure that another daemon says; ok is false if it says none.
+func readPressure(h http.Header) (p catkinrun.Pressure, ok bool) {
+	text := h.Get(pressureHeader)
+	if text == "" {
+		return p, false
+	}
+	var steps []catkinrun.Step
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err == nil {
+		err = messenger.Decode(raw, &steps)
+	}
+	if err == nil {
+		p, err = catkinrun.NewPressure(steps)
+	}
+	return p, err == nil
 }
 
 // writeReport adds what the entry daemon shall know of the answer.
 func writeReport(h http.Header, a *catkinrun.Answer, request string) {
-	writeState(h, request, a.Load, a.Pressure)
+	writeState(h, request, a.Load, &a.Pressure)
 	if a.Failed {
 		h.Set(failedHeader, "1")
 	}
@@ -156,7 +182,7 @@
 // readReport takes it out again.
 func readReport(a *catkinrun.Answer) {
 	a.Load = float64(number(a.Header, loadHeader)) / loadScale
-	a.Pressure = float64(number(a.Header, pressureHeader)) / loadScale
+	a.Pressure, _ = readPressure(a.Header) // none is said by leaving it out
 	a.Version = catkinrun.Version(number(a.Header, versionHeader))
 	a.Failed = a.Header.Get(failedHeader) != ""
 	dropOwnHeaders(a.Header)
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -41,8 +41,8 @@
 	}
 	if err != nil {
 		refusal := asRefusal(err)
-		if refusal.Pressure > 0 {
-			f.leveler.Set(c.Envelope.Route, refusal.Pressure)
+		if refusal.Pressure != nil {
+			f.leveler.Set(c.Envelope.Route, *refusal.Pressure)
 		}
 		f.router.Ended(c.Host, resultOf(refusal), refusal.Load)
 		fields["reason"], fields["outcome"], fields["detail"], fields["load"] = refusal.Reason, refusal.Outcome, refusal.Detail, refusal.Load
--- a/filterer/shed.go
+++ b/filterer/shed.go
@@ -25,8 +25,12 @@
 	p := f.parts
 	route := c.Envelope.Route
 	if c.Envelope.Call {
-		p.Learner.Called(route, c.StartedAt, c.TimeLeft)
-	} else if refused, pressure := p.Leveler.Refuses(route, c.Envelope.Class()); refused {
+		run := p.Learner.Called(route, c.StartedAt, c.TimeLeft)
+		c.Envelope.Parent, c.Envelope.Weight = run.Class, run.Weight
+		return next(ctx, c)
+	}
+	refused, pressure := p.Leveler.Refuses(route, c.Envelope.Class())
+	if refused {
 		p.Journal.Failed(logrus.Fields{
 			"request": c.Envelope.Request, "route": route, "class": c.Envelope.Class(), "pressure": pressure,
 		}, "shed: request refused for servers further down")
@@ -34,6 +38,7 @@
 		refusal.RetryAfter = comeBack(c.Route)
 		return refusal
 	}
+	c.Envelope.Weight = 1 / (1 - pressure)
 	return next(ctx, c)
 }
 
--- a/learner/learner.go
+++ b/learner/learner.go
@@ -5,8 +5,11 @@
 package learner
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/catkinrun/catkinrun"
 )
 
 const (
@@ -33,36 +36,38 @@
 	agedAt  time.Time
 }
 
-// index finds the routes of running requests by a time.
-type index map[int64]map[string]int
+// Run is what is known of a running request that may make calls.
+type Run struct {
+	Route  string
+	Class  int
+	Weight float64 // as in its envelope
+}
+
+// index finds running requests by a time.
+type index map[int64][]*Run
 
 func slot(t time.Time) int64 { return t.UnixNano() / int64(grain) }
 
-func (x index) add(t time.Time, route string) {
-	at := slot(t)
-	if x[at] == nil {
-		x[at] = make(map[string]int)
-	}
-	x[at][route]++
+func (x index) add(t time.Time, r *Run) {
+	x[slot(t)] = append(x[slot(t)], r)
 }
 
-func (x index) remove(t time.Time, route string) {
+func (x index) remove(t time.Time, r *Run) {
 	at := slot(t)
-	if x[at][route]--; x[at][route] <= 0 {
-		delete(x[at], route)
+	if i := slices.Index(x[at], r); i >= 0 {
+		x[at] = slices.Delete(x[at], i, i+1)
 	}
 	if len(x[at]) == 0 {
 		delete(x, at)
 	}
 }
 
-// near adds the routes of requests at about a time to a set.
-func (x index) near(t time.Time, routes map[string]bool) {
+// near adds the requests at about a time to those found.
+func (x index) near(t time.Time, found []*Run) []*Run {
 	for at := slot(t) - 1; at <= slot(t)+1; at++ {
-		for route := range x[at] {
-			routes[route] = true
-		}
+		found = append(found, x[at]...)
 	}
+	return found
 }
 
 // New returns a learner that knows no call.
@@ -75,38 +80,66 @@
 
 // Begin notes a request that the server runs from start until deadline. The returned
 // function ends it.
-func (l *Learner) Begin(route string, start, deadline time.Time) (end func()) {
+func (l *Learner) Begin(r Run, start, deadline time.Time) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[route]++
-	l.ends.add(deadline, route)
-	l.starts.add(start, route)
+	l.runs[r.Route]++
+	l.ends.add(deadline, &r)
+	l.starts.add(start, &r)
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.ends.remove(deadline, route)
-		l.starts.remove(start, route)
+		l.ends.remove(deadline, &r)
+		l.starts.remove(start, &r)
 	}
 }
 
-// Called notes a call that the server makes now, with so much time left.
-func (l *Learner) Called(call string, now time.Time, left time.Duration) {
+// Called notes a call that the server makes now, with so much time left. It returns the
+// request that the call is most likely made for, without a class if none fits.
+func (l *Learner) Called(call string, now time.Time, left time.Duration) Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ageLocked(now)
 	l.longest[call] = max(l.longest[call], left)
-	parents := make(map[string]bool)
-	l.ends.near(now.Add(left), parents)
-	l.starts.near(now.Add(left-l.longest[call]), parents)
-	if len(parents) != 1 {
+	found := l.ends.near(now.Add(left), nil)
+	found = l.starts.near(now.Add(left-l.longest[call]), found)
+	l.learnLocked(call, found)
+	return likeliest(found)
+}
+
+// learnLocked notes that a route makes a call, if only requests of one route fit.
+func (l *Learner) learnLocked(call string, found []*Run) {
+	if len(found) == 0 {
+		return
+	}
+	route := found[0].Route
+	if slices.ContainsFunc(found, func(r *Run) bool { return r.Route != route }) {
 		return // it may belong to any of them
 	}
-	for parent := range parents {
-		if l.calls[parent] == nil {
-			l.calls[parent] = make(map[string]float64)
+	if l.calls[route] == nil {
+		l.calls[route] = make(map[string]float64)
+	}
+	l.calls[route][call]++
+}
+
+// likeliest returns the request found most often, with the class that most of them have
+// and the mean weight of that class.
+func likeliest(found []*Run) Run {
+	var counts [catkinrun.ClassCount]int
+	best := Run{}
+	for _, r := range found {
+		counts[r.Class]++
+		if counts[r.Class] > counts[best.Class] {
+			best = *r
+		}
+	}
+	best.Weight = 0
+	for _, r := range found {
+		if r.Class == best.Class {
+			best.Weight += r.Weight / float64(counts[best.Class])
 		}
-		l.calls[parent][call]++
 	}
+	return best
 }
 
 // ageLocked lets old evidence fade, so that a changed program is learned anew.
--- /dev/null
+++ b/pressure_test.go
@@ -0,0 +1,39 @@
+package catkinrun_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/catkinrun/catkinrun"
+)
+
+// TestStepsTellThePressure sends any rising pressure through its steps.
+func TestStepsTellThePressure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p catkinrun.Pressure
+		parts := 0
+		for class := range p {
+			parts = min(1000, parts+rapid.SampledFrom([]int{0, 0, 0, 5, 300}).Draw(t, "rise"))
+			p[class] = float64(parts) / 1000
+		}
+		back, err := catkinrun.NewPressure(p.Steps())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for class := range p {
+			if diff := p[class] - back[class]; diff < -0.0011 || diff > 0.0011 {
+				t.Fatalf("class %d: %v became %v", class, p[class], back[class])
+			}
+		}
+	})
+}
+
+func TestStepsOutOfRangeAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, s := range []catkinrun.Step{{Class: -1}, {Class: catkinrun.ClassCount}, {Parts: 1001}} {
+		_, err := catkinrun.NewPressure([]catkinrun.Step{s})
+		is.True(err != nil)
+	}
+}
