Servers and daemons that leave take work while no other does

Change: a server that has said that it leaves takes work for 0.6 of the drain time, and members that leave are chosen when no other is left. A daemon that did not hear its server ready takes none, since an earlier incarnation may have acknowledged the leaving long ago.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,10 @@
 	// membersPause is the wait between two looks at changed members. A server that leaves
 	// is refused by its own daemon meanwhile; many that join come with one call.
 	membersPause = 150 * time.Millisecond
+	// lingerPart is the part of the time to drain for which a server that leaves takes work
+	// of callers that know no other one. The rest is for requests on their way and in the
+	// queue, and for an acknowledgement that waits for the store.
+	lingerPart = 0.6
 	// firstSlots is assumed until the server announces itself.
 	firstSlots = 1
 	// memoryPart is the part of the allowed memory at which the collector works harder.
@@ -112,7 +116,7 @@
 	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdle, storeConnections)}, time.Duration(s.Times.Store))
 	d.configurer = configurer.New(d.clock, d.log)
 	d.locator = locator.New(d.log)
-	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self)
+	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self, time.Duration(lingerPart*float64(s.Times.Drain)))
 	d.broker = broker.New(store, d.locator, d.configurer, d.clock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: self.Incarnation}, d.stopped)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host)
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -86,7 +86,7 @@
 	}}, "test")
 	is.NoErr(err)
 	hosts := locator.New(log)
-	reg := registrar.New(store{}, hosts, system, log, self)
+	reg := registrar.New(store{}, hosts, system, log, self, 0)
 	reg.Note(catkinrun.Server{ID: instance, Service: service, Slots: 8, Sequence: 1})
 	is.NoErr(reg.Publish(context.Background()))
 	adm := admitter.New(8, system)
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -42,6 +42,7 @@
 // Times are the daemon's periods and limits.
 type Times struct {
 	Store catkinrun.Duration `yaml:"store"` // longest wait for the platform's store
+	Drain catkinrun.Duration `yaml:"drain"` // from a server's word that it leaves until it must get no new work
 	Stop  catkinrun.Duration `yaml:"stop"`  // from the signal to stop until the process must have ended
 }
 
@@ -55,6 +56,7 @@
 	return Settings{
 		Times: Times{
 			Store: catkinrun.Duration(1500 * time.Millisecond),
+			Drain: catkinrun.Duration(2 * time.Second),
 			Stop:  catkinrun.Duration(6 * time.Second),
 		},
 		Retries: 48,
@@ -127,6 +129,8 @@
 	switch {
 	case s.Times.Store <= 0:
 		return invalid("times.store", `expected a duration above 0, like "500ms"`)
+	case s.Times.Drain < 0:
+		return invalid("times.drain", `expected a duration of at least 0, like "2s"`)
 	case time.Duration(s.Times.Stop) < time.Second:
 		return invalid("times.stop", `expected a duration of at least 1s, like "6s"`)
 	case s.Retries < 0:
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -30,6 +30,7 @@
 	rows     map[string]catkinrun.Row
 	members  map[string]catkinrun.Member // by host
 	services map[string][]catkinrun.Member
+	leaving  map[string][]catkinrun.Member // by service, those that linger
 	revision catkinrun.Revision
 }
 
@@ -69,6 +70,7 @@
 func (l *Locator) indexLocked() {
 	l.members = make(map[string]catkinrun.Member, len(l.rows))
 	l.services = make(map[string][]catkinrun.Member)
+	l.leaving = make(map[string][]catkinrun.Member)
 	for key, row := range l.rows {
 		if row.Deleted {
 			continue
@@ -79,12 +81,25 @@
 			continue
 		}
 		l.members[member.Host] = member
-		if member.Server != nil && member.Serves(member.Server.Service) {
-			l.services[member.Server.Service] = append(l.services[member.Server.Service], member)
+		l.indexServerLocked(member)
+	}
+	for _, services := range []map[string][]catkinrun.Member{l.services, l.leaving} {
+		for _, list := range services {
+			slices.SortFunc(list, func(a, b catkinrun.Member) int { return strings.Compare(a.Host, b.Host) })
 		}
 	}
-	for _, list := range l.services {
-		slices.SortFunc(list, func(a, b catkinrun.Member) int { return strings.Compare(a.Host, b.Host) })
+}
+
+func (l *Locator) indexServerLocked(m catkinrun.Member) {
+	if m.Server == nil {
+		return
+	}
+	service := m.Server.Service
+	switch {
+	case m.Serves(service):
+		l.services[service] = append(l.services[service], m)
+	case m.Lingers(service):
+		l.leaving[service] = append(l.leaving[service], m)
 	}
 }
 
@@ -96,12 +111,15 @@
 	return member, member.Validate()
 }
 
-// Serving returns the members whose servers take new work of a service, sorted by
-// host. The caller must not change the list.
+// Serving returns the members whose servers take new work of a service, sorted by host;
+// if there is none, those that are about to leave. The caller must not change the list.
 func (l *Locator) Serving(service string) []catkinrun.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.services[service]
+	if list := l.services[service]; len(list) > 0 {
+		return list
+	}
+	return l.leaving[service]
 }
 
 // Members returns all members, sorted by host.
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -25,6 +25,22 @@
 	return catkinrun.Row{Key: locator.Key(host), Value: raw, Revision: revision}
 }
 
+// TestLeavingMembersServeWhenNoOtherDoes has a daemon that stops and a server that drains.
+func TestLeavingMembersServeWhenNoOtherDoes(t *testing.T) {
+	is := is.New(t)
+	l := newLocator()
+	leaving := func(host string, daemon, server bool) catkinrun.Row {
+		raw, err := json.Marshal(catkinrun.Member{Host: host, Peer: host, Leaving: daemon, Server: &catkinrun.Server{ID: "i", Service: "s", Slots: 1, Draining: server}})
+		is.NoErr(err)
+		return catkinrun.Row{Key: locator.Key(host), Value: raw, Revision: 1}
+	}
+	l.Apply(catkinrun.Page{Revision: 1, Rows: []catkinrun.Row{leaving("a", true, false), leaving("b", false, true)}}, true)
+	is.Equal(len(l.Serving("s")), 2)
+	l.Apply(catkinrun.Page{Revision: 2, Rows: []catkinrun.Row{row(t, "c", "s", 2)}}, false)
+	is.Equal(len(l.Serving("s")), 1) // the one that stays
+	is.Equal(l.Serving("s")[0].Host, "c")
+}
+
 func TestRowsOfOthersHarmNobody(t *testing.T) {
 	is := is.New(t)
 	l := newLocator()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -40,6 +40,7 @@
 	locator Locator
 	clock   catkinrun.Clock
 	log     logrus.FieldLogger
+	linger  time.Duration
 	changed chan struct{}
 
 	mu        sync.Mutex
@@ -47,6 +48,7 @@
 	heard     bool // the server has announced itself to this incarnation of the daemon
 	down      bool // the server refused a connection since its last announcement
 	coldUntil time.Time
+	openUntil time.Time // until when a server that leaves still takes work
 	ended     []ending
 	waiters   []chan struct{}
 }
@@ -57,10 +59,11 @@
 	born int64
 }
 
-// New returns a registrar for the daemon that self describes.
-func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member) *Registrar {
+// New returns a registrar for the daemon that self describes. A server that has said that
+// it leaves still takes work for linger, for callers that know no other one.
+func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, linger time.Duration) *Registrar {
 	return &Registrar{
-		store: store, locator: locator, clock: clock, log: log, self: self,
+		store: store, locator: locator, clock: clock, log: log, self: self, linger: linger,
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -74,7 +77,7 @@
 	}
 	server = *r.self.Server
 	server.Cold = max(0, r.coldUntil.Sub(r.clock.Now()))
-	return server, !server.Draining && !r.down
+	return server, !r.down && (!server.Draining || r.clock.Now().Before(r.openUntil))
 }
 
 // Adopt takes the server that an earlier incarnation of this daemon published, until
@@ -122,11 +125,12 @@
 	if before != nil && before.ID != s.ID {
 		r.endLocked(*before)
 	}
-	r.heard, r.down = true, false
 	r.coldUntil = r.clock.Now().Add(s.Cold)
 	if before != nil && before.ID == s.ID && before.Born == s.Born && before.Draining {
 		s.Draining = true // a server that leaves does not come back under the same start
 	}
+	r.lingerLocked(s, before)
+	r.heard, r.down = true, false
 	r.self = r.self.WithServer(&s)
 	if before != nil && before.ID == s.ID && before.Born == s.Born && before.Service == s.Service &&
 		before.Slots == s.Slots && before.Draining == s.Draining {
@@ -138,6 +142,15 @@
 	return r.publishLocked()
 }
 
+// lingerLocked notes until when a server that begins to leave takes work. What it said to
+// an earlier incarnation of this daemon is not known, so that one which was not heard here
+// before takes none.
+func (r *Registrar) lingerLocked(s catkinrun.Server, before *catkinrun.Server) {
+	if r.heard && s.Draining && before != nil && before.ID == s.ID && before.Born == s.Born && !before.Draining {
+		r.openUntil = r.clock.Now().Add(r.linger)
+	}
+}
+
 // outdatedLocked reports whether an announcement is older than what is known.
 func (r *Registrar) outdatedLocked(s catkinrun.Server) bool {
 	for _, e := range r.ended {
@@ -162,7 +175,8 @@
 	}
 }
 
-// NoteEnd is Note for a server that has said that it ends.
+// NoteEnd is Note for a server that has said that it ends. One that has not said before
+// that it leaves goes on for a while.
 func (r *Registrar) NoteEnd(id string) chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,8 +186,15 @@
 		return nil
 	}
 	r.endLocked(*current)
-	r.self = r.self.WithServer(nil)
-	r.log.WithFields(logrus.Fields{"server": id, "service": current.Service}).Info("registrar: server has left")
+	last := *current
+	last.Draining = true
+	r.lingerLocked(last, current)
+	if current.Draining {
+		r.self = r.self.WithServer(nil)
+	} else {
+		r.self = r.self.WithServer(&last)
+	}
+	r.log.WithFields(logrus.Fields{"server": id, "service": current.Service, "draining-before": current.Draining}).Info("registrar: server has left")
 	return r.publishLocked()
 }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
@@ -60,12 +61,16 @@
 }
 
 func newRegistrar() (*registrar.Registrar, *store, *locator.Locator) {
+	return newLingering(clock.NewFake(), 0)
+}
+
+func newLingering(c catkinrun.Clock, linger time.Duration) (*registrar.Registrar, *store, *locator.Locator) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &store{rows: make(map[string]catkinrun.Row)}
 	l := locator.New(log)
 	self := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
-	return registrar.New(s, l, clock.NewFake(), log, self), s, l
+	return registrar.New(s, l, c, log, self, linger), s, l
 }
 
 func TestHeartbeatOfADeadServerChangesNothing(t *testing.T) {
@@ -104,6 +109,47 @@
 	is.True(!open)
 }
 
+// TestLeavingServerLingers lets one server say that it drains and another one that it ends:
+// both take work for a second more, and not longer, whatever they repeat.
+func TestLeavingServerLingers(t *testing.T) {
+	is := is.New(t)
+	for _, drains := range []bool{true, false} {
+		c := clock.NewFake()
+		r, _, _ := newLingering(c, time.Second)
+		r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 1, Sequence: 1})
+		if drains {
+			r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 1, Sequence: 2, Draining: true})
+		} else {
+			r.NoteEnd("i")
+		}
+		c.Advance(900 * time.Millisecond)
+		r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 1, Sequence: 3, Draining: true})
+		server, open := r.Server()
+		is.True(open)
+		is.True(server.Draining)
+		c.Advance(200 * time.Millisecond)
+		r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 1, Born: 1, Sequence: 4, Draining: true})
+		_, open = r.Server()
+		is.True(!open)
+		r.NoteEnd("i")
+		_, open = r.Server()
+		is.True(!open)
+	}
+}
+
+// TestServerThatLeftBeforeARestartDoesNotLinger has a daemon that was away when its server
+// said that it drains, and whose row does not say so.
+func TestServerThatLeftBeforeARestartDoesNotLinger(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := newLingering(clock.NewFake(), time.Second)
+	raw, err := json.Marshal(catkinrun.Member{Host: "h", Peer: "p", Server: &catkinrun.Server{ID: "i", Service: "a", Slots: 4, Born: 7}})
+	is.NoErr(err)
+	r.Adopt(catkinrun.Row{Key: locator.Key("h"), Value: raw, Revision: 3})
+	r.Note(catkinrun.Server{ID: "i", Service: "a", Slots: 4, Born: 7, Sequence: 9, Draining: true})
+	_, open := r.Server()
+	is.True(!open)
+}
+
 func TestRestartedDaemonKnowsItsServerFromTheStore(t *testing.T) {
 	is := is.New(t)
 	r, _, _ := newRegistrar()
