--- a/router/router.go
+++ b/router/router.go
@@ -18,7 +18,7 @@
 	// zonePenalty is the load that another availability zone's server must be below the
 	// own one's to be chosen: bytes between zones are paid for, and each crossing adds
 	// over a millisecond.
-	zonePenalty = 0.6
+	zonePenalty = 0.3
 	// failurePenalty is the load by which a server that fails every request counts as
 	// fuller; one that fails a third of them is used when the others are two thirds full.
 	failurePenalty = 2.0
