Repeats are bounded beside the server that they reach

Cause: each entry daemon had 4 percent of its first attempts as repeats for a service, so that five levels of repeats stay within 20 percent; most lost answers of calls that nothing calls further were not tried again, though the bound had room. Ruled out: a ratio of 16 percent at the entries, which the levels would add up to 48. Change: the daemon beside the server, which every request passes, counts first arrivals and repeats, those with which runs come that are repeats themselves among them; 16 percent in all, 4 for requests that make calls. No host needs to know another's count. A server's own failure is passed on when no other server may be reached.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,7 +128,7 @@
 	parts := &filterer.Parts{
 		Self: self, Service: s.Service, Server: s.Server, Dialect: platform.Dialect{},
 		Configurer: d.configurer, Learner: learner.New(), Leveler: leveler.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
-		Budget: retrier.New(float64(s.Retries), d.locator.Count), Registrar: d.registrar, Admitter: d.admitter, Syncer: d.syncer,
+		Budget: retrier.New(float64(s.Retries), d.servers), Registrar: d.registrar, Admitter: d.admitter, Syncer: d.syncer,
 		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdle, serverConnections),
 		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
 	}
@@ -137,6 +137,12 @@
 	d.registerMetrics()
 }
 
+// servers counts the servers of the service of this host.
+func (d *Daemon) servers() int {
+	server, _ := d.registrar.Server()
+	return len(d.locator.Serving(server.Service))
+}
+
 func (d *Daemon) applyConfiguration(page catkinrun.Page, _ bool) {
 	for _, row := range page.Rows {
 		if row.Key != platform.ConfigurationKey || row.Deleted {
--- a/envelope.go
+++ b/envelope.go
@@ -31,6 +31,7 @@
 	ReasonOverload    Reason = "overload"    // shed by admission control
 	ReasonDeadline    Reason = "deadline"    // the time left does not suffice
 	ReasonNoServer    Reason = "no-server"   // no backend server is ready
+	ReasonBudget      Reason = "budget"      // no more repeats may reach the server
 	ReasonLeaving     Reason = "leaving"     // the backend server takes no new work
 	ReasonRejected    Reason = "rejected"    // the backend server did not run the request
 	ReasonUnreachable Reason = "unreachable" // the host could not be reached
@@ -79,6 +80,8 @@
 	Objective  time.Duration `cbor:"13,keyasint"`           // what is left of the latency wanted, when sent
 	Attempt    int           `cbor:"14,keyasint"`           // 0 for the first
 	Parent     int           `cbor:"16,keyasint,omitempty"` // class of the request that a call is made for, 0 if unknown
+	Repeat     bool          `cbor:"18,keyasint,omitempty"` // an earlier attempt has reached a server
+	Inherited  bool          `cbor:"19,keyasint,omitempty"` // made by a run that is a repeat
 	Weight     float64       `cbor:"17,keyasint,omitempty"` // requests that callers made for each that the entry sent, 0 for 1
 }
 
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -24,8 +24,14 @@
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
+	if !p.Budget.Admit(c.Envelope, len(p.Learner.Calls(c.Envelope.Route)) > 0) {
+		f.log(c, server, 0, "no more repeats may reach the server")
+		return refuseLater(catkinrun.ReasonBudget, "no more repeats may reach the server")
+	}
 	startedAt := p.Clock.Now()
-	end := p.Learner.Begin(learner.Run{Route: c.Envelope.Route, Class: c.Envelope.Class(), Weight: c.Envelope.Weight}, startedAt, startedAt.Add(c.Envelope.TimeLeft))
+	end := p.Learner.Begin(learner.Run{
+		Route: c.Envelope.Route, Class: c.Envelope.Class(), Weight: c.Envelope.Weight, Repeat: c.Envelope.Repeat || c.Envelope.Inherited,
+	}, startedAt, startedAt.Add(c.Envelope.TimeLeft))
 	defer end()
 	request := exchanger.Request(ctx, c, p.Server)
 	p.Dialect.TellServer(request.Header, catkinrun.ServerFacts{
--- a/filterer/retry.go
+++ b/filterer/retry.go
@@ -12,20 +12,19 @@
 )
 
 type retry struct {
-	budget  *retrier.Budget
 	journal *journaler.Journal
 	clock   catkinrun.Clock
 }
 
 func newRetry(p *Parts) catkinrun.Filter {
-	return &retry{budget: p.Budget, journal: p.Journal, clock: p.Clock}
+	return &retry{journal: p.Journal, clock: p.Clock}
 }
 
-// Process offers the request to another host after a refusal that allows it.
+// Process offers the request to another host after a refusal or a failure that allows it.
 func (f *retry) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
-	f.budget.Deposit(c.Envelope.Service)
 	reached := 0
 	var unknown, last *catkinrun.Refusal // of an attempt that may have run, and of the last host
+	var failed *catkinrun.Answer         // by which a server said that it failed
 	for {
 		err := next(ctx, c)
 		refusal := refusalOf(err)
@@ -34,7 +33,7 @@
 				return err
 			}
 			reached++
-			unknown = brokenAnswer("the server failed")
+			failed, c.Answer = c.Answer, nil
 			continue
 		}
 		if refusal.Reached {
@@ -48,6 +47,9 @@
 			continue
 		}
 		switch {
+		case failed != nil:
+			c.Answer = failed
+			return nil
 		case unknown != nil:
 			return unknown // a last attempt that did not run takes nothing back
 		case refusal.Reason == catkinrun.ReasonNoServer && last != nil:
@@ -63,11 +65,7 @@
 	if c.Answer == nil || !c.Answer.Failed || c.Answer.Stream != nil {
 		return false
 	}
-	if !f.again(ctx, c, brokenAnswer("the server failed"), reached) {
-		return false
-	}
-	c.Answer = nil
-	return true
+	return f.again(ctx, c, brokenAnswer("the server failed"), reached)
 }
 
 // again decides on one more attempt and spends what it costs.
@@ -76,15 +74,13 @@
 	if !allowed || ctx.Err() != nil || !c.Deadline.After(f.clock.Now()) {
 		return false
 	}
-	if counted && !f.budget.Spend(c.Envelope.Service) {
-		return false
-	}
 	f.journal.Failed(logrus.Fields{
 		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "host": c.Host,
 		"reason": r.Reason, "outcome": r.Outcome, "detail": r.Detail, "reached": reached, "counted": counted,
 	}, "retry: request goes to another host")
 	c.Tried = append(c.Tried, c.Host)
 	c.Envelope.Attempt++
+	c.Envelope.Repeat = reached > 0
 	return true
 }
 
--- /dev/null
+++ b/filterer/retry_test.go
@@ -0,0 +1,46 @@
+package filterer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/journaler"
+)
+
+// newScripted returns the retry step and a request that may run twice.
+func newScripted() (*retry, *catkinrun.Call) {
+	system := clock.System{}
+	step := newRetry(&Parts{Clock: system, Journal: journaler.New(system, io.Discard, logrus.InfoLevel)})
+	return step.(*retry), &catkinrun.Call{
+		Route:    &catkinrun.Route{Attempts: 2, Idempotent: true, Timeout: catkinrun.Duration(time.Second)},
+		Deadline: system.Now().Add(time.Second), StartedAt: system.Now(),
+		Envelope: catkinrun.Envelope{Request: "r", Route: "read", Service: "s", Idempotent: true},
+	}
+}
+
+// TestServersOwnFailureIsPassedOnIfNoOtherServerMayBeReached answers 500, and then lacks
+// the budget for another server.
+func TestServersOwnFailureIsPassedOnIfNoOtherServerMayBeReached(t *testing.T) {
+	is := is.New(t)
+	step, c := newScripted()
+	own := &catkinrun.Answer{Status: http.StatusInternalServerError, Failed: true, Header: http.Header{"X-Response-Signature": {"s"}}}
+	err := step.Process(context.Background(), c, func(_ context.Context, c *catkinrun.Call) error {
+		if c.Envelope.Attempt == 0 {
+			is.True(!c.Envelope.Repeat)
+			c.Answer = own
+			return nil
+		}
+		is.True(c.Envelope.Repeat)
+		return refuseLater(catkinrun.ReasonBudget, "no more repeats")
+	})
+	is.NoErr(err)
+	is.Equal(c.Answer, own)
+}
--- a/filterer/shed.go
+++ b/filterer/shed.go
@@ -26,7 +26,7 @@
 	route := c.Envelope.Route
 	if c.Envelope.Call {
 		run := p.Learner.Called(route, c.StartedAt, c.TimeLeft)
-		c.Envelope.Parent, c.Envelope.Weight = run.Class, run.Weight
+		c.Envelope.Parent, c.Envelope.Weight, c.Envelope.Inherited = run.Class, run.Weight, run.Repeat
 		return next(ctx, c)
 	}
 	refused, pressure := p.Leveler.Refuses(route, c.Envelope.Class())
--- a/learner/learner.go
+++ b/learner/learner.go
@@ -41,6 +41,7 @@
 	Route  string
 	Class  int
 	Weight float64 // as in its envelope
+	Repeat bool    // another run of the request may have been begun before
 }
 
 // index finds running requests by a time.
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -1,6 +1,6 @@
 // Package retrier decides whether a request may be sent to one more backend server:
-// only when that cannot run it twice, within its route's attempts and within a budget
-// for each service.
+// only when that cannot run it twice, within its route's attempts and within the budget
+// of the server.
 package retrier
 
 import (
@@ -10,55 +10,57 @@
 )
 
 const (
-	// earned is the part of a service's first attempts that may be repeated. A repeat's
-	// own calls count as repeats at the services called, so along a chain of five the
-	// ratios add up to the bound of 0.2.
-	earned = 0.04
-	// reservePart is the part of the bound's extra repeats that all hosts hold together,
-	// so that a window that begins with full reserves stays inside the bound.
+	// earned is the part of a server's first arrivals that repeats may add, with those that
+	// runs bring which are repeats themselves: below the bound of 0.2, since some calls are
+	// taken for another run's.
+	earned = 0.16
+	// earnedCalling is the part for repeats of requests that make calls. Each of their calls
+	// is a repeat at the server called, so three levels of them leave a quarter of the above
+	// to the last.
+	earnedCalling = 0.04
+	// reservePart is the part of the bound's extra repeats that all servers of a service
+	// hold together, so that a window that begins with full reserves stays inside the bound.
 	reservePart = 0.5
 )
 
-// Budget bounds the repeats for each service at this daemon.
+// Budget bounds the repeats that reach the server beside this daemon. All requests for
+// the server pass here, so that the servers' bounds make up the service's without a word
+// between daemons.
 type Budget struct {
-	extra float64 // repeats that the bound allows beyond the ratio, over all hosts
-	hosts func() int
+	extra   float64 // repeats that the bound allows beyond the ratio, over all servers
+	servers func() int
 
-	mu     sync.Mutex
-	tokens map[string]float64
+	mu      sync.Mutex
+	all     float64 // repeats that may come
+	calling float64 // of them those of requests that make calls
 }
 
 // New returns a budget. extra is the bound's allowance per window beyond its ratio,
-// and hosts counts the daemons that share it.
-func New(extra float64, hosts func() int) *Budget {
-	return &Budget{extra: extra, hosts: hosts, tokens: make(map[string]float64)}
+// and servers counts the servers that share it.
+func New(extra float64, servers func() int) *Budget {
+	return &Budget{extra: extra, servers: servers}
 }
 
-// reserve is the most that this daemon saves up for a service.
-func (b *Budget) reserve() float64 {
-	return max(1, reservePart*b.extra/float64(max(1, b.hosts())))
-}
-
-// Deposit records a first attempt.
-func (b *Budget) Deposit(service string) {
-	reserve := b.reserve()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	left, ok := b.tokens[service]
-	if !ok {
-		left = reserve
-	}
-	b.tokens[service] = min(left+earned, reserve)
-}
-
-// Spend takes one repeat; it reports false if the service's budget is spent.
-func (b *Budget) Spend(service string) bool {
+// Admit counts a request that is about to reach the server and reports whether it may.
+// calls tells whether requests of its route make calls.
+func (b *Budget) Admit(e catkinrun.Envelope, calls bool) bool {
+	reserve := max(1, reservePart*b.extra/float64(max(1, b.servers())))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens[service] < 1 {
+	switch {
+	case e.Inherited && !e.Repeat: // its refusal would waste the run that makes it
+		b.all = max(b.all-1, -reserve)
+	case !e.Repeat:
+		b.all = min(b.all+earned, reserve)
+		b.calling = min(b.calling+earnedCalling, reserve)
+	case b.all < 1 || calls && b.calling < 1:
 		return false
+	default:
+		b.all--
+		if calls {
+			b.calling--
+		}
 	}
-	b.tokens[service]--
 	return true
 }
 
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -41,20 +41,55 @@
 	}
 }
 
-// TestRepeatsStayInsideTheBound fails every request of 12 hosts for a window.
+// TestRepeatsStayInsideTheBound fails every request of three servers for a window, of
+// which none makes calls.
 func TestRepeatsStayInsideTheBound(t *testing.T) {
 	is := is.New(t)
-	const hosts, requests, extra, ratio = 12, 500, 48, 0.2
+	const servers, requests, extra, ratio = 3, 500, 48, 0.2
 	repeats := 0
-	for range hosts {
-		b := retrier.New(extra, func() int { return hosts })
+	for range servers {
+		b := retrier.New(extra, func() int { return servers })
 		for range requests {
-			b.Deposit("service")
-			if b.Spend("service") {
+			is.True(b.Admit(catkinrun.Envelope{}, false))
+			if b.Admit(catkinrun.Envelope{Repeat: true}, false) {
 				repeats++
 			}
 		}
 	}
-	is.True(repeats > 0)
-	is.True(float64(repeats) <= ratio*hosts*requests+extra)
+	is.True(repeats > ratio/2*servers*requests)
+	is.True(float64(repeats) <= ratio*servers*requests+extra)
+}
+
+// TestRepeatsAddUpAlongTheCallGraph fails every request of four services, each of which
+// calls the next once for each run: the calls of runs that are repeats count at the next.
+func TestRepeatsAddUpAlongTheCallGraph(t *testing.T) {
+	is := is.New(t)
+	const requests, extra, ratio, depth = 3000, 48, 0.2, 4
+	var budgets [depth]*retrier.Budget
+	for i := range budgets {
+		budgets[i] = retrier.New(extra, func() int { return 1 })
+	}
+	var firsts, repeats [depth]int
+	var run func(level int, e catkinrun.Envelope)
+	run = func(level int, e catkinrun.Envelope) {
+		if level == depth || !budgets[level].Admit(e, level < depth-1) {
+			return
+		}
+		if e.Repeat || e.Inherited {
+			repeats[level]++
+		} else {
+			firsts[level]++
+		}
+		run(level+1, catkinrun.Envelope{Inherited: e.Repeat || e.Inherited})
+		if !e.Repeat {
+			run(level, catkinrun.Envelope{Repeat: true, Inherited: e.Inherited})
+		}
+	}
+	for range requests {
+		run(0, catkinrun.Envelope{})
+	}
+	for level := range depth {
+		is.True(repeats[level] > 0)
+		is.True(float64(repeats[level]) <= ratio*float64(firsts[level])+extra)
+	}
 }
