--- a/filter.go
+++ b/filter.go
@@ -20,14 +20,13 @@
 	Stream    io.Reader // body of a request too large to be sent again
 	Length    int64     // bytes of Stream, -1 if unknown
 	Envelope  Envelope
-	Route     *Route            // the matched route
-	Deadline  time.Time         // when the answer is due, by this daemon's clock
-	TimeLeft  time.Duration     // that the caller stated, 0 if it did not
-	Secret    string            // caller's key, until it is checked
-	Host      string            // name of the chosen host
-	Peer      string            // its daemon's address, IP and port
-	Tried     []string          // hosts that earlier attempts used
-	Chosen    func(host string) // told the host of an attempt that runs beside another, nil for none
+	Route     *Route        // the matched route
+	Deadline  time.Time     // when the answer is due, by this daemon's clock
+	TimeLeft  time.Duration // that the caller stated, 0 if it did not
+	Secret    string        // caller's key, until it is checked
+	Host      string        // name of the chosen host
+	Peer      string        // its daemon's address, IP and port
+	Tried     []string      // hosts that earlier attempts used
 	StartedAt time.Time
 	Answer    *Answer // set by the last step
 }
--- a/filterer/retry.go
+++ b/filterer/retry.go
@@ -12,13 +12,12 @@
 )
 
 type retry struct {
-	hedger  *hedger
 	journal *journaler.Journal
 	clock   catkinrun.Clock
 }
 
 func newRetry(p *Parts) catkinrun.Filter {
-	return &retry{hedger: &hedger{parts: p, patience: retrier.NewPatience()}, journal: p.Journal, clock: p.Clock}
+	return &retry{journal: p.Journal, clock: p.Clock}
 }
 
 // Process offers the request to another host after a refusal or a failure that allows it.
@@ -27,10 +26,7 @@
 	var unknown, last *catkinrun.Refusal // of an attempt that may have run, and of the last host
 	var failed *catkinrun.Answer         // by which a server said that it failed
 	for {
-		second, err := f.hedger.offer(ctx, c, reached, next)
-		if second {
-			reached++
-		}
+		err := next(ctx, c)
 		refusal := refusalOf(err)
 		if refusal == nil {
 			if !f.repeatFailure(ctx, c, reached+1) {
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -31,9 +31,6 @@
 		return refuseLater(catkinrun.ReasonNoServer, "no backend server of "+c.Envelope.Service+" is ready")
 	}
 	c.Host, c.Peer = choice.Member.Host, choice.Member.Peer
-	if c.Chosen != nil {
-		c.Chosen(c.Host)
-	}
 	f.router.Started(c.Host)
 	startedAt := f.clock.Now()
 	err := next(ctx, c)
--- a/router/router.go
+++ b/router/router.go
@@ -100,9 +100,6 @@
 	Among  int     // servers that could have been chosen
 }
 
-// Count returns the number of servers of a service that could be chosen.
-func (r *Router) Count(service string) int { return len(r.members.Serving(service)) }
-
 // Wish is what a request needs of a server.
 type Wish struct {
 	Service   string
