--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -46,7 +46,6 @@
 	inUse    int
 	queue    queue
 	services map[string]time.Duration // mean service time by route
-	holds    map[string]time.Duration // mean time for which a slot is held, by route
 	pressure pressure
 	counts   Counts
 }
@@ -62,7 +61,7 @@
 func New(slots int, clock catkinrun.Clock) *Admitter {
 	return &Admitter{
 		clock: clock, slots: slots,
-		services: make(map[string]time.Duration), holds: make(map[string]time.Duration),
+		services: make(map[string]time.Duration),
 		counts:   Counts{Shed: make(map[catkinrun.Reason]uint64)},
 	}
 }
@@ -110,7 +109,7 @@
 	defer a.mu.Unlock()
 	a.followLocked()
 	if e.Attempt == 0 { // else it has been counted where it was refused
-		a.pressure.arrive(e.Class(), a.holds[e.Route], e.Weight)
+		a.pressure.arrive(e.Class(), a.services[e.Route], e.Weight)
 	}
 	if expected := a.services[e.Route]; e.TimeLeft < expected/2 {
 		// Without runs nothing else would correct an estimate from a slow time.
@@ -122,7 +121,7 @@
 		a.counts.Admitted++
 		return nil, nil
 	}
-	w := &waiter{envelope: e, service: a.holds[e.Route], decided: make(chan error, 1)}
+	w := &waiter{envelope: e, service: a.services[e.Route], decided: make(chan error, 1)}
 	a.queue.push(w)
 	a.counts.Queued++
 	a.fillLocked()
@@ -190,28 +189,21 @@
 	}
 }
 
-// Release gives the slot of a request back after a run that took so long. answered tells
-// whether it ended with an answer; a run that was cut short says nothing about the service
-// time, but has held the slot.
-func (a *Admitter) Release(e catkinrun.Envelope, took time.Duration, answered bool) {
+// Release gives the slot of a request back after a run that took so long. A run that was
+// cut short says nothing about the service time and passes 0.
+func (a *Admitter) Release(e catkinrun.Envelope, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	follow(a.holds, e.Route, took)
-	if answered {
-		follow(a.services, e.Route, took)
+	if took > 0 {
+		mean, ok := a.services[e.Route]
+		if !ok {
+			mean = took
+		}
+		a.services[e.Route] = mean + time.Duration(serviceSmoothing*float64(took-mean))
 	}
 	a.releaseLocked()
 }
 
-// follow weighs one more time against a route's mean.
-func follow(means map[string]time.Duration, route string, took time.Duration) {
-	mean, ok := means[route]
-	if !ok {
-		mean = took
-	}
-	means[route] = mean + time.Duration(serviceSmoothing*float64(took-mean))
-}
-
 func (a *Admitter) releaseLocked() {
 	a.followLocked()
 	a.inUse--
@@ -219,7 +211,7 @@
 }
 
 func (a *Admitter) followLocked() {
-	a.pressure.follow(a.clock.Now(), a.capacityLocked(), &a.queue)
+	a.pressure.follow(a.clock.Now(), a.capacityLocked(), &a.queue.work)
 }
 
 // Load returns the slots in use and waited for, per slot in use at most.
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -34,7 +34,7 @@
 		e := envelope(i, 0)
 		e.TimeLeft = time.Second
 		is.NoErr(a.Acquire(context.Background(), e))
-		a.Release(envelope(0, 0), 200*time.Millisecond, true)
+		a.Release(envelope(0, 0), 200*time.Millisecond)
 	}
 	err := a.Acquire(context.Background(), envelope(1, 0))
 	var refusal *catkinrun.Refusal
@@ -50,7 +50,7 @@
 		e := envelope(0, 0)
 		e.TimeLeft = time.Minute
 		is.NoErr(a.Acquire(context.Background(), e))
-		a.Release(envelope(0, 0), time.Second, true) // a slow time, now over
+		a.Release(envelope(0, 0), time.Second) // a slow time, now over
 	}
 	refused := 0
 	for i := range 1000 {
@@ -85,7 +85,7 @@
 			},
 			"release": func(*rapid.T) {
 				if running > 0 {
-					a.Release(envelope(0, 0), time.Millisecond, true)
+					a.Release(envelope(0, 0), time.Millisecond)
 					running--
 				}
 			},
@@ -105,7 +105,7 @@
 		e.TimeLeft, e.Objective = time.Minute, time.Hour
 		is.NoErr(a.Acquire(context.Background(), e))
 		order <- i
-		a.Release(envelope(0, 0), time.Millisecond, true)
+		a.Release(envelope(0, 0), time.Millisecond)
 	}
 	go wait(2, envelope(2, 2))
 	for a.Counts().Queued < 1 {
@@ -117,7 +117,7 @@
 	for a.Counts().Queued < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	a.Release(envelope(0, 0), time.Millisecond, true)
+	a.Release(envelope(0, 0), time.Millisecond)
 	is.Equal(<-order, 1) // a running request's call goes before new requests of its class
 	is.Equal(<-order, 2)
 }
--- a/admitter/pressure.go
+++ b/admitter/pressure.go
@@ -17,19 +17,11 @@
 	// drainTime is the time in which the waiting work should be done: a longer queue takes
 	// room from new arrivals.
 	drainTime = 200 * time.Millisecond
-	// trimGain is the part of the slots that is taken from new arrivals in a second while a
-	// request waits for each slot: service times are known from the past only. It corrects
-	// slowly, over several of the delays between the entries and here.
-	trimGain = 0.3
-	// usualQueue is the number of waiting requests for each slot that uneven arrivals make.
-	usualQueue = 0.1
-	// mostTrim bounds the correction.
-	mostTrim = 0.5
 	// followEvery is the least time between two steps of the pressure.
 	followEvery = 5 * time.Millisecond
 	// maxPressure leaves a few requests that find out whether there is room, and keeps any
 	// team's requests from being refused altogether.
-	maxPressure = 0.95
+	maxPressure = 0.9
 )
 
 // pressure is the part of each class's new requests that the entries should not send
@@ -41,7 +33,6 @@
 type pressure struct {
 	parts  catkinrun.Pressure
 	demand [catkinrun.ClassCount]float64 // slots, by class
-	trim   float64                       // part of the slots that new arrivals do not get
 	at     time.Time
 }
 
@@ -53,9 +44,9 @@
 	p.demand[class] += service.Seconds() / demandMemory.Seconds() * min(max(1, weight), own)
 }
 
-// follow brings the pressure up to now for a server with so many usable slots and what
-// waits for them.
-func (p *pressure) follow(now time.Time, capacity int, q *queue) {
+// follow brings the pressure up to now for a server with so many usable slots, and with
+// work of so many seconds waiting in each class.
+func (p *pressure) follow(now time.Time, capacity int, waiting *[catkinrun.ClassCount]float64) {
 	if p.at.IsZero() {
 		p.at = now
 	}
@@ -65,12 +56,10 @@
 	}
 	p.at = now
 	remaining := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
-	waiting := min(1, float64(q.size)/float64(capacity))
-	p.trim = min(max(0, p.trim+trimGain*(waiting-usualQueue)*elapsed.Seconds()), mostTrim)
-	room := (targetDemand - p.trim) * float64(capacity)
+	room := targetDemand * float64(capacity)
 	for class := range p.demand {
 		p.demand[class] *= remaining
-		room -= q.work[class] / drainTime.Seconds()
+		room -= waiting[class] / drainTime.Seconds()
 		through := 1.0
 		if p.demand[class] > room {
 			through = max(room/p.demand[class], 1-maxPressure)
--- a/admitter/pressure_test.go
+++ b/admitter/pressure_test.go
@@ -38,14 +38,14 @@
 		if err := a.Acquire(context.Background(), l.envelope); err != nil {
 			t.Fatal(err)
 		}
-		a.Release(l.envelope, service, true) // the service time is known
+		a.Release(l.envelope, service) // the service time is known
 	}
 	running := make(map[int][]catkinrun.Envelope) // by the tick of their end
 	told := make([]catkinrun.Pressure, entryLag)
 	for now := range ticks {
 		c.Advance(tick)
 		for _, e := range running[now] {
-			a.Release(e, service, true)
+			a.Release(e, service)
 		}
 		delete(running, now)
 		for _, l := range loads {
--- a/filterer/admit.go
+++ b/filterer/admit.go
@@ -35,11 +35,11 @@
 	c.Envelope.TimeLeft -= startedAt.Sub(enteredAt)
 	err := next(ctx, c)
 	if err != nil {
-		p.Admitter.Release(c.Envelope, p.Clock.Now().Sub(startedAt), false)
+		p.Admitter.Release(c.Envelope, 0)
 		return err
 	}
 	c.Answer.OnEnd(func(bool) {
-		p.Admitter.Release(c.Envelope, p.Clock.Now().Sub(startedAt), true)
+		p.Admitter.Release(c.Envelope, p.Clock.Now().Sub(startedAt))
 	})
 	c.Answer.Load = p.Admitter.Load()
 	c.Answer.Pressure = f.pressure(c.Envelope.Route)
