--- a/filterer/header.go
+++ b/filterer/header.go
@@ -155,6 +155,8 @@
 }
 
 // readPressure reads the pressure that another daemon says; ok is false if it says none.
+// One that cannot be read was written by a daemon of another version and counts as none:
+// the entry then sends what the server's own admission sheds.
 func readPressure(h http.Header) (p catkinrun.Pressure, ok bool) {
 	text := h.Get(pressureHeader)
 	if text == "" {
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -39,7 +39,7 @@
 	Leveler    *leveler.Leveler
 	Limiter    *limiter.Limiter
 	Router     *router.Router
-	Budget     *retrier.Budget
+	Budget     *retrier.Budget // of the server beside this daemon
 	Registrar  *registrar.Registrar
 	Admitter   *admitter.Admitter
 	Syncer     *syncer.Syncer
@@ -64,12 +64,12 @@
 	{"authenticate", "check the key and drop it", Caller, newAuthenticate},
 	{"shed", "refuse what servers further down have no room for", Caller, newShed},
 	{"limit", "hold the team to its rate", Caller, newLimit},
-	{"retry", "send again what cannot run twice, within the budget", Caller, newRetry},
+	{"retry", "send again what cannot run twice", Caller, newRetry},
 	{"route", "choose the host", Caller, newRoute},
 	{"send", "hand the call to the host's daemon", Caller, newSend},
 	{"verify", "check the envelope, and the request once more by a newer configuration", Peer, newVerify},
 	{"admit", "wait for a slot, or shed", Peer, newAdmit},
-	{"forward", "run the request on the backend server", Peer, newForward},
+	{"forward", "run the request on the backend server, a repeat within the budget", Peer, newForward},
 }
 
 // Chain builds the chain of a stage. Its last step calls last, if given.
