A request that waited for a slot while its server left reaches none

Cause: a call may wait for a quarter of its objective, beyond the time to drain if the objective is long; the server's state was looked at before the wait only. Change: looked at once more before the request is sent; its test failed before.

--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -20,7 +20,11 @@
 // Process runs the request on the server beside this daemon and judges its answer.
 func (f *forward) Process(ctx context.Context, c *catkinrun.Call, _ catkinrun.Handler) error {
 	p := f.parts
-	server, _ := p.Registrar.Server()
+	server, open := p.Registrar.Server()
+	if !open || server.Service != c.Envelope.Service { // it has left while the request waited for a slot
+		f.log(c, server, 0, "the server takes no new work of the service any more")
+		return refuseLater(catkinrun.ReasonLeaving, "the server takes no new work of the service any more")
+	}
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
--- /dev/null
+++ b/filterer/forward_test.go
@@ -0,0 +1,45 @@
+package filterer
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/exchanger"
+	"github.com/catkinrun/catkinrun/journaler"
+	"github.com/catkinrun/catkinrun/learner"
+	"github.com/catkinrun/catkinrun/locator"
+	"github.com/catkinrun/catkinrun/platform"
+	"github.com/catkinrun/catkinrun/registrar"
+	"github.com/catkinrun/catkinrun/retrier"
+)
+
+// TestRequestThatWaitedWhileItsServerLeftReachesNone has a server that says that it drains
+// while a request waits for one of its slots, for a time beyond the time to drain.
+func TestRequestThatWaitedWhileItsServerLeftReachesNone(t *testing.T) {
+	is := is.New(t)
+	system := clock.System{}
+	journal := journaler.New(system, io.Discard, logrus.InfoLevel)
+	self := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
+	reg := registrar.New(nil, locator.New(journal.Log()), system, journal.Log(), self, 0)
+	reg.Note(catkinrun.Server{ID: "i", Service: "s", Slots: 1, Born: 1, Sequence: 1})
+	step := newForward(&Parts{
+		Clock: system, Journal: journal, Registrar: reg, Learner: learner.New(), Dialect: platform.Dialect{}, Server: "127.0.0.1:1",
+		Budget: retrier.New(0, func() int { return 1 }), Backend: exchanger.New(time.Second, time.Second, 1),
+	})
+	reg.Note(catkinrun.Server{ID: "i", Service: "s", Slots: 1, Born: 1, Sequence: 2, Draining: true})
+	c := &catkinrun.Call{Envelope: catkinrun.Envelope{Request: "r", Route: "read", Service: "s", TimeLeft: time.Second}}
+	err := step.Process(context.Background(), c, nil)
+	var refusal *catkinrun.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Reason, catkinrun.ReasonLeaving)
+	is.Equal(refusal.Outcome, catkinrun.NotRun)
+	is.True(!refusal.Reached)
+}
