--- a/filterer/admit.go
+++ b/filterer/admit.go
@@ -17,8 +17,8 @@
 // Process waits for a slot of the server and holds it until the answer has arrived.
 func (f *admit) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	p := f.parts
-	server, open := p.Registrar.Server()
-	if !open || server.Service != c.Envelope.Service {
+	server, ok := p.takes(c)
+	if !ok {
 		f.log(c, server, "admit: the server takes no new work of the service")
 		return refuseLater(catkinrun.ReasonLeaving, "the server takes no new work of the service")
 	}
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -20,15 +20,16 @@
 // Process runs the request on the server beside this daemon and judges its answer.
 func (f *forward) Process(ctx context.Context, c *catkinrun.Call, _ catkinrun.Handler) error {
 	p := f.parts
-	server, open := p.Registrar.Server()
-	if !open || server.Service != c.Envelope.Service { // it has left while the request waited for a slot
+	server, ok := p.takes(c)
+	if !ok { // it has left while the request waited for a slot
 		f.log(c, server, 0, "the server takes no new work of the service any more")
 		return refuseLater(catkinrun.ReasonLeaving, "the server takes no new work of the service any more")
 	}
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "no time is left")
 	}
-	if !p.Budget.Admit(c.Envelope, len(p.Learner.Calls(c.Envelope.Route)) > 0) {
+	calls := c.Envelope.Repeat && len(p.Learner.Calls(c.Envelope.Route)) > 0 // counts for repeats only
+	if !p.Budget.Admit(c.Envelope, calls) {
 		f.log(c, server, 0, "no more repeats may reach the server")
 		return refuseLater(catkinrun.ReasonBudget, "no more repeats may reach the server")
 	}
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -67,9 +67,8 @@
 func (g *Gateway) Peer() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := g.newCall(r)
-		envelope, err := openEnvelope(c.Header.Get(EnvelopeHeader))
+		err := open(c.Header.Get(EnvelopeHeader), &c.Envelope)
 		dropOwnHeaders(c.Header)
-		c.Envelope = envelope
 		w.Header().Set(versionHeader, strconv.FormatUint(uint64(g.parts.Configurer.Snapshot().Version()), 10))
 		if err != nil {
 			err = refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the envelope cannot be read: "+err.Error())
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -58,21 +58,22 @@
 	}
 }
 
-func sealEnvelope(e catkinrun.Envelope) (string, error) {
-	raw, err := messenger.Encode(e)
+// seal returns a value in the form of a header between daemons.
+func seal(value any) (string, error) {
+	raw, err := messenger.Encode(value)
 	if err != nil {
 		return "", err
 	}
 	return base64.RawURLEncoding.EncodeToString(raw), nil
 }
 
-func openEnvelope(text string) (catkinrun.Envelope, error) {
-	var e catkinrun.Envelope
+// open reads and checks a value that seal has written.
+func open(text string, value any) error {
 	raw, err := base64.RawURLEncoding.DecodeString(text)
 	if err != nil {
-		return e, err
+		return err
 	}
-	return e, messenger.Decode(raw, &e)
+	return messenger.Decode(raw, value)
 }
 
 // problem is the body of a refusal, as RFC 9457 has it.
@@ -148,8 +149,8 @@
 		return
 	}
 	if steps := pressure.Steps(); len(steps) > 0 {
-		if raw, err := messenger.Encode(steps); err == nil { // a list of numbers always is
-			h.Set(pressureHeader, base64.RawURLEncoding.EncodeToString(raw))
+		if text, err := seal(steps); err == nil { // a list of numbers can always be encoded
+			h.Set(pressureHeader, text)
 		}
 	}
 }
@@ -163,13 +164,10 @@
 		return p, false
 	}
 	var steps []catkinrun.Step
-	raw, err := base64.RawURLEncoding.DecodeString(text)
-	if err == nil {
-		err = messenger.Decode(raw, &steps)
-	}
-	if err == nil {
-		p, err = catkinrun.NewPressure(steps)
+	if err := open(text, &steps); err != nil {
+		return p, false
 	}
+	p, err := catkinrun.NewPressure(steps)
 	return p, err == nil
 }
 
--- a/filterer/header_test.go
+++ b/filterer/header_test.go
@@ -12,12 +12,13 @@
 )
 
 func FuzzOpenEnvelope(f *testing.F) {
-	sealed, _ := sealEnvelope(catkinrun.Envelope{Request: "r", TimeLeft: 1})
+	sealed, _ := seal(catkinrun.Envelope{Request: "r", TimeLeft: 1})
 	for _, seed := range []string{"", "%", "AAAA", sealed, sealed[:len(sealed)-2]} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		envelope, err := openEnvelope(text)
+		var envelope catkinrun.Envelope
+		err := open(text, &envelope)
 		if err == nil && envelope.Validate() != nil {
 			t.Fatal("an invalid envelope was taken")
 		}
--- a/filterer/send.go
+++ b/filterer/send.go
@@ -27,7 +27,7 @@
 		return next(ctx, c)
 	}
 	request := exchanger.Request(ctx, c, c.Peer)
-	sealed, err := sealEnvelope(c.Envelope)
+	sealed, err := seal(c.Envelope)
 	if err != nil {
 		return err
 	}
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -50,6 +50,13 @@
 	Journal    *journaler.Journal
 }
 
+// takes returns the server beside this daemon, and whether it takes new work of the call's
+// service.
+func (p *Parts) takes(c *catkinrun.Call) (server catkinrun.Server, ok bool) {
+	server, open := p.Registrar.Server()
+	return server, open && server.Service == c.Envelope.Service
+}
+
 // Step is one line of the table.
 type Step struct {
 	Name  string
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -30,7 +30,7 @@
 	rows     map[string]catkinrun.Row
 	members  map[string]catkinrun.Member // by host
 	services map[string][]catkinrun.Member
-	leaving  map[string][]catkinrun.Member // by service, those that linger
+	leaving  map[string][]catkinrun.Member // by service, those that or whose servers are about to leave
 	revision catkinrun.Revision
 }
 
@@ -94,13 +94,11 @@
 	if m.Server == nil {
 		return
 	}
-	service := m.Server.Service
-	switch {
-	case m.Serves(service):
-		l.services[service] = append(l.services[service], m)
-	case m.Lingers(service):
-		l.leaving[service] = append(l.leaving[service], m)
+	list := l.leaving
+	if m.Serves(m.Server.Service) {
+		list = l.services
 	}
+	list[m.Server.Service] = append(list[m.Server.Service], m)
 }
 
 func decode(row catkinrun.Row) (catkinrun.Member, error) {
--- a/member.go
+++ b/member.go
@@ -29,12 +29,6 @@
 	return !m.Leaving && m.Server != nil && !m.Server.Draining && m.Server.Service == service
 }
 
-// Lingers reports whether the member still takes work of a service for a short time,
-// since it or its server is about to leave.
-func (m Member) Lingers(service string) bool {
-	return m.Server != nil && m.Server.Service == service && (m.Leaving || m.Server.Draining)
-}
-
 // WithServer returns a copy with another server.
 func (m Member) WithServer(s *Server) Member {
 	m.Server = s
