--- a/broker/broker.go
+++ b/broker/broker.go
@@ -1,19 +1,28 @@
-// Package broker grants tokens of the teams' rates. One daemon, the owner, holds a
-// bucket for each team, which refills at a share of the team's rate up to the same share
-// of its burst; the rest is divided evenly among all hosts. All daemons request tokens
-// from the owner as their callers need them.
+// Package broker grants tokens of the teams' rates. The teams are divided into shards by
+// hash, and each shard has an owner, a daemon that holds a bucket for each of the shard's
+// teams. All daemons request tokens from the owners as their callers need them.
 //
-// A row in the store names the owner, and the row's revision is the epoch. An owner
-// grants tokens only while a majority of the voters, hosts chosen by rendezvous
-// hashing, keeps requesting tokens under its epoch, and only after the authority of
-// any earlier owner has certainly ended. Two owners therefore never grant tokens at
-// the same time, and an owner continues to grant tokens during a store outage.
+// It answers two load patterns: one team's requests that arrive at a few of many hosts, or
+// at other hosts than a moment ago, and one team that sends many times its rate through
+// all of them.
+//
+// A row in the store assigns the owners; each assignment has a generation, and a shard's
+// epoch is the generation in which its owner last changed. An owner grants tokens only while
+// a majority of the shard's voters, hosts chosen by rendezvous hashing, supports its epoch,
+// and only after the authority of every earlier owner has certainly ended. Two owners
+// therefore never grant tokens of one shard at the same time, and an owner continues to grant
+// tokens during a store outage.
+//
+// Each host has a local share of every rate, for the time without an owner. While a host is in
+// touch with the owner it does not use its share, and the owner grants those tokens too.
 // docs/design/rates.md gives the argument.
 package broker
 
 import (
 	"context"
 	"encoding/json"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,40 +31,30 @@
 	"github.com/catkinrun/catkinrun"
 )
 
-// RowKey is the key of the owner's row in the members table.
-const RowKey = "owner/rates"
-
 const (
-	// OwnerShare is the fraction of each rate and burst that the owner grants.
-	// The rest is divided evenly into the local shares of all hosts, so that a host that
-	// cannot reach the owner still serves requests.
-	OwnerShare = 0.65
-	// voteTTL is how long a token request counts as a vote for the owner. It spans
-	// several request intervals.
-	voteTTL = time.Second
-	// maxVoters bounds the number of voters, so that it does not grow with the fleet.
-	maxVoters = 15
-	// ownerTimeout is the time without a response after which the first of the other hosts
-	// replaces the owner. Each further host waits claimInterval longer, in case those
-	// before it have failed too.
-	ownerTimeout  = 700 * time.Millisecond
-	claimInterval = 300 * time.Millisecond
-	// unreadyTimeout is the additional time before an owner that responds but does not
-	// grant tokens is replaced.
-	unreadyTimeout = 5 * time.Second
-	// pollInterval is the time between two checks of the owner.
-	pollInterval = 250 * time.Millisecond
+	// maxLocalFraction is the fraction of each rate that the local shares of all hosts have
+	// together.
+	maxLocalFraction = 0.35
+	// localShareHosts is the number of hosts from which on the local shares become smaller:
+	// the share of one of many hosts is below one request for most teams, while a large fleet
+	// always has hosts that are out of touch and whose shares nobody can use.
+	localShareHosts = 32
+	// updateInterval is the minimum time between two updates of the voters and of the
+	// fraction that the owner may grant.
+	updateInterval = 50 * time.Millisecond
 )
 
-// Owner is the content of the owner's row.
-type Owner struct {
-	Host        string             `json:"host"`
-	Peer        string             `json:"peer"`
-	Incarnation string             `json:"incarnation"`
-	Epoch       catkinrun.Revision `json:"-"`
+// LocalShare returns the fraction of each rate that one of count hosts may use while it is
+// out of touch with the owner.
+func LocalShare(count int) float64 {
+	return localFraction(count) / float64(max(1, count))
 }
 
-// Members lists the hosts.
+func localFraction(count int) float64 {
+	return maxLocalFraction * min(1, localShareHosts/float64(max(1, count)))
+}
+
+// Members lists the hosts, sorted by name.
 type Members interface {
 	Members() []catkinrun.Member
 }
@@ -65,11 +64,12 @@
 	Snapshot() *catkinrun.Snapshot
 }
 
-// ConfirmStopped requests that an earlier owner stop granting tokens. It returns true only if
-// that is certain: the earlier owner's response confirms it, or the owner's process has ended.
-type ConfirmStopped func(ctx context.Context, earlier Owner, epoch catkinrun.Revision) bool
+// ConfirmStopped requests that an earlier owner stop granting the tokens of shards that the
+// assignment gives to this daemon. It returns the shards for which that is certain: the
+// earlier owner's response confirms it, or the owner's process has ended.
+type ConfirmStopped func(ctx context.Context, earlier Owner, shards ShardSet, assignment Assignment) ShardSet
 
-// Broker grants tokens if this daemon is the owner, and claims the ownership if the
+// Broker grants the tokens of the shards that this daemon owns, and claims shards whose
 // owner has failed.
 type Broker struct {
 	store          catkinrun.Store
@@ -80,31 +80,38 @@
 	table          string
 	self           Owner
 	confirmStopped ConfirmStopped
+	wake           chan struct{} // an owner's process has ended
 
 	startedAt time.Time
 
-	mu                 sync.Mutex
-	owner              Owner
-	votes              map[string]time.Time // last token request of each host under this epoch
-	majoritySince      time.Time            // start of the current majority of votes, zero without one
-	granting           bool
-	grantingSince      time.Time // when granting last began
-	buckets            map[string]*bucket
-	predecessorStopped bool      // the previous owner has certainly stopped granting tokens
-	superseded         bool      // a later epoch exists, but its row has not arrived yet
-	failingSince       time.Time // since when the owner has not responded to this daemon, zero if it responds
-	unreadySince       time.Time // since when no response has been ready, zero if the last one was ready
+	mu         sync.Mutex
+	assignment Assignment
+	revision   catkinrun.Revision // of the assignment's row
+	changed    chan struct{}      // closed and replaced when the assignment changes
+	superseded bool               // a later generation exists, but has not arrived yet
+	resigned   bool
+	health     map[string]*ownerHealth // by host
+
+	// As an owner.
+	supporters     map[string]*supporter // by host
+	ledgers        map[int]*ledger       // of the shards whose tokens are granted
+	ready          ShardSet              // shards whose tokens are granted
+	earlierStopped ShardSet              // all earlier owners of these have certainly stopped granting tokens
+	hosts          []string
+	voters         [voterGroupCount][]string
+	updatedAt      time.Duration
 }
 
-// New returns a broker for the daemon that self describes. The owner's row is in table.
+// New returns a broker for the daemon that self describes. The assignment's row is in table.
 func New(store catkinrun.Store, members Members, snapshots SnapshotSource, clock catkinrun.Clock, log logrus.FieldLogger, table string, self Owner, confirmStopped ConfirmStopped) *Broker {
 	return &Broker{
-		store: store, members: members, snapshots: snapshots, clock: clock, log: log, table: table, self: self, confirmStopped: confirmStopped, startedAt: clock.Now(),
-		votes: make(map[string]time.Time), buckets: make(map[string]*bucket),
+		store: store, members: members, snapshots: snapshots, clock: clock, log: log, table: table, self: self, confirmStopped: confirmStopped,
+		wake: make(chan struct{}, 1), startedAt: clock.Now(), changed: make(chan struct{}), health: make(map[string]*ownerHealth),
+		supporters: make(map[string]*supporter), ledgers: make(map[int]*ledger), updatedAt: math.MinInt64,
 	}
 }
 
-// Apply applies changed rows of the table; all but the owner's row are ignored.
+// Apply applies changed rows of the table; all but the assignment's row are ignored.
 func (b *Broker) Apply(page catkinrun.Page) {
 	for _, row := range page.Rows {
 		if row.Key == RowKey && !row.Deleted {
@@ -114,155 +121,229 @@
 }
 
 func (b *Broker) applyRow(row catkinrun.Row) {
-	var owner Owner
-	if err := json.Unmarshal(row.Value, &owner); err != nil {
-		b.log.WithError(err).Warn("broker: cannot decode the owner's row")
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if row.Revision <= b.owner.Epoch {
+	if row.Revision <= b.revision {
+		return
+	}
+	b.revision = row.Revision
+	var assignment Assignment
+	err := json.Unmarshal(row.Value, &assignment)
+	if err == nil {
+		err = assignment.Validate()
+	}
+	if err != nil {
+		b.log.WithError(err).Warn("broker: cannot decode the assignment of owners")
 		return
 	}
-	owner.Epoch = row.Revision
-	b.owner = owner
-	b.failingSince, b.unreadySince, b.majoritySince = time.Time{}, time.Time{}, time.Time{}
-	b.granting, b.predecessorStopped, b.superseded = false, false, false
-	b.votes = make(map[string]time.Time)
-	b.buckets = make(map[string]*bucket)
-	b.log.WithFields(logrus.Fields{"owner": owner.Host, "epoch": owner.Epoch}).Info("broker: owner changed")
+	b.applyLocked(assignment)
 }
 
-// Owner returns the owner known to this daemon; its epoch is 0 if there is none.
-func (b *Broker) Owner() Owner {
+// ApplyAssignment applies an assignment that another daemon has sent.
+func (b *Broker) ApplyAssignment(assignment Assignment) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.owner
+	b.applyLocked(assignment)
 }
 
-// RecordResponse records the response of an epoch's owner to a token request of this daemon,
-// nil if the request failed.
-func (b *Broker) RecordResponse(epoch catkinrun.Revision, response *TokenResponse) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if epoch != b.owner.Epoch {
+// applyLocked applies an assignment if it is newer than the one in force. Shards that stay
+// with this daemon keep their ledgers.
+func (b *Broker) applyLocked(assignment Assignment) {
+	if assignment.Generation <= b.assignment.Generation {
 		return
 	}
-	now := b.clock.Now()
-	trackSince(&b.failingSince, now, response == nil || response.Incarnation != b.owner.Incarnation)
-	trackSince(&b.unreadySince, now, response == nil || !response.Ready)
+	var reassigned ShardSet
+	for shard := range ShardCount {
+		if assignment.Epoch(shard) != b.assignment.Epoch(shard) {
+			reassigned = reassigned.With(shard)
+			delete(b.ledgers, shard)
+		}
+	}
+	b.assignment = assignment
+	b.superseded = false
+	b.earlierStopped = b.earlierStopped.Without(reassigned)
+	b.forgetEpochsLocked(reassigned)
+	close(b.changed)
+	b.changed = make(chan struct{})
+	hosts := make([]string, 0, len(assignment.Owners))
+	for _, owner := range assignment.Owners {
+		hosts = append(hosts, owner.Host)
+	}
+	b.log.WithFields(logrus.Fields{"owners": hosts, "generation": assignment.Generation}).Info("broker: owners changed")
 }
 
-// trackSince sets since to the time from which a condition has held, zero if it does not.
-func trackSince(since *time.Time, now time.Time, holds bool) {
-	switch {
-	case !holds:
-		*since = time.Time{}
-	case since.IsZero():
-		*since = now
-	}
+// Assignment returns the assignment in force and a channel that is closed when it changes.
+func (b *Broker) Assignment() (assignment Assignment, changed <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.assignment, b.changed
+}
+
+// Resign makes this daemon grant no more tokens. It must be called before the daemon refuses
+// connections, which other daemons take as proof that its process has ended.
+func (b *Broker) Resign() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.resigned = true
+	b.ledgers = make(map[int]*ledger)
 }
 
-// GrantTokens handles a token request. The response has Ready set only if this daemon is the
-// owner and may grant tokens.
+// GrantTokens handles a token request.
 func (b *Broker) GrantTokens(_ context.Context, request *TokenRequest) (*TokenResponse, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	response := &TokenResponse{Incarnation: b.self.Incarnation, Epoch: b.owner.Epoch}
-	if request.Epoch > b.owner.Epoch {
-		b.superseded = true // the requesting daemon knows a later owner
+	if request.Assignment != nil {
+		b.applyLocked(*request.Assignment)
 	}
-	if request.Epoch != b.owner.Epoch || b.owner.Incarnation != b.self.Incarnation || b.superseded {
-		return response, nil
+	if request.Generation > b.assignment.Generation {
+		b.superseded = true // the requesting daemon knows a later assignment
 	}
-	now := b.clock.Now()
-	b.votes[request.Host] = now
-	b.authorizeLocked(now)
-	if !b.granting {
-		return response, nil
+	now := b.elapsed()
+	response := &TokenResponse{Incarnation: b.self.Incarnation, Generation: b.assignment.Generation, Stamp: now}
+	if request.Generation < b.assignment.Generation {
+		assignment := b.assignment
+		response.Assignment = &assignment
 	}
-	response.Ready = true
+	b.recordSupportLocked(request, now)
+	b.updateLocked(now)
+	response.Ready = b.authorizeLocked(now)
 	snapshot := b.snapshots.Snapshot()
-	for _, teamRequest := range request.Teams {
-		team, ok := snapshot.Team(teamRequest.Team)
-		if ok {
-			response.Grants = append(response.Grants, Grant{Team: teamRequest.Team, Tokens: b.grantLocked(now, team, teamRequest)})
+	for _, t := range request.Teams {
+		team, declared := snapshot.Team(t.Team)
+		shard := ShardOf(t.Team)
+		if !declared || !response.Ready.Has(shard) || request.Generation < b.assignment.Epoch(shard) {
+			continue
 		}
+		tokens := b.ledgers[shard].take(now, t.Team, team.Rate, team.Burst, t.Returned, t.Tokens)
+		response.Grants = append(response.Grants, Grant{Team: t.Team, Tokens: tokens})
 	}
 	return response, nil
 }
 
-func (b *Broker) grantLocked(now time.Time, team catkinrun.Team, teamRequest TeamRequest) float64 {
-	teamBucket, ok := b.buckets[teamRequest.Team]
+// elapsed returns the reading of this daemon's clock that responses carry as their stamp.
+func (b *Broker) elapsed() time.Duration { return b.clock.Now().Sub(b.startedAt) }
+
+func (b *Broker) recordSupportLocked(request *TokenRequest, now time.Duration) {
+	s, ok := b.supporters[request.Host]
 	if !ok {
-		teamBucket = &bucket{refilledAt: b.grantingSince} // no token accrued since then has been granted
-		b.buckets[teamRequest.Team] = teamBucket
+		s = &supporter{}
+		b.supporters[request.Host] = s
 	}
-	teamBucket.refill(now, OwnerShare*team.Rate, OwnerShare*team.Burst)
-	teamBucket.putBack(teamRequest.Returned, OwnerShare*team.Burst)
-	return teamBucket.take(teamRequest.Tokens)
+	s.record(request, now)
 }
 
-// authorizeLocked decides whether this owner may grant tokens. The vote of a host for the
-// previous owner stays valid for voteTTL after its last token request there. The majority
-// must therefore have lasted that long, unless the previous owner has certainly stopped.
-func (b *Broker) authorizeLocked(now time.Time) {
-	if !b.hasMajorityLocked(now) {
-		if b.granting {
-			b.log.WithField("epoch", b.owner.Epoch).Warn("broker: no majority of votes, stopped granting tokens")
-		}
-		b.granting, b.majoritySince = false, time.Time{}
+// updateLocked updates the voters, the available fraction of each ledger and the buckets of
+// idle teams, if the last update was long enough ago.
+func (b *Broker) updateLocked(now time.Duration) {
+	if now < b.updatedAt+updateInterval {
 		return
 	}
-	if b.majoritySince.IsZero() {
-		b.majoritySince = now
-	}
-	if !b.granting && (b.predecessorStopped || now.Sub(b.majoritySince) >= voteTTL) {
-		b.granting, b.grantingSince = true, now
-		b.buckets = make(map[string]*bucket)
-		b.log.WithField("epoch", b.owner.Epoch).Info("broker: started granting tokens")
+	b.updatedAt = now
+	b.updateHostsLocked()
+	for _, l := range b.ledgers {
+		l.update(now, b.availableLocked(now, l.grantingSince))
+		l.dropIdle(now)
 	}
 }
 
-func (b *Broker) hasMajorityLocked(now time.Time) bool {
-	voters := b.voters()
-	count := 0
-	for _, host := range voters {
-		if at, ok := b.votes[host]; ok && now.Sub(at) < voteTTL {
-			count++
-		}
-	}
-	return 2*count > len(voters)
-}
-
-// voters returns the hosts whose token requests count as votes.
-func (b *Broker) voters() []string {
+func (b *Broker) updateHostsLocked() {
 	members := b.members.Members()
 	hosts := make([]string, 0, len(members))
 	for _, m := range members {
 		hosts = append(hosts, m.Host)
 	}
-	if len(hosts) <= maxVoters {
-		return hosts
+	if slices.Equal(hosts, b.hosts) {
+		return
+	}
+	b.hosts, b.voters = hosts, voters(hosts)
+	for host := range b.supporters {
+		if _, found := slices.BinarySearch(hosts, host); !found {
+			delete(b.supporters, host)
+		}
 	}
-	return catkinrun.RendezvousOrder(RowKey, hosts)[:maxVoters]
 }
 
-// bucket holds the tokens of one team that are not granted yet.
-type bucket struct {
-	tokens     float64
-	refilledAt time.Time
+// IsVoter reports whether the votes of this daemon's host count for some shard.
+func (b *Broker) IsVoter() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.updateLocked(b.elapsed())
+	return slices.ContainsFunc(b.voters[:], func(group []string) bool { return slices.Contains(group, b.self.Host) })
 }
 
-func (b *bucket) refill(now time.Time, rate, burst float64) {
-	b.tokens = min(b.tokens+rate*now.Sub(b.refilledAt).Seconds(), burst)
-	b.refilledAt = now
+// availableLocked returns the fraction of the rates that this owner may grant until the next
+// update: all but the local shares of the hosts that may be using them until then.
+func (b *Broker) availableLocked(now, grantingSince time.Duration) float64 {
+	using := 0
+	for _, host := range b.hosts {
+		if s, ok := b.supporters[host]; !ok || !s.cedesAt(now+updateInterval, grantingSince) {
+			using++
+		}
+	}
+	return 1 - float64(using)*LocalShare(len(b.hosts))
 }
 
-func (b *bucket) putBack(tokens, burst float64) { b.tokens = min(b.tokens+tokens, burst) }
+// authorizeLocked returns the shards of which this daemon may grant tokens now.
+func (b *Broker) authorizeLocked(now time.Duration) ShardSet {
+	owned := b.assignment.OwnedBy(b.self)
+	if b.resigned || b.superseded {
+		owned = 0
+	}
+	var ready ShardSet
+	majorities := make(map[majority]bool)
+	for shard := range ShardCount {
+		if !owned.Has(shard) {
+			delete(b.ledgers, shard)
+			continue
+		}
+		m := majority{group: voterGroup(shard), epoch: b.assignment.Epoch(shard), earlierStopped: b.earlierStopped.Has(shard)}
+		supported, known := majorities[m]
+		if !known {
+			supported = b.hasMajorityLocked(m, now)
+			majorities[m] = supported
+		}
+		switch {
+		case !supported:
+			delete(b.ledgers, shard)
+		case b.ledgers[shard] == nil:
+			b.ledgers[shard] = newLedger(now, b.availableLocked(now, now))
+			fallthrough
+		default:
+			ready = ready.With(shard)
+		}
+	}
+	b.logReadyLocked(ready)
+	return ready
+}
 
-func (b *bucket) take(count float64) float64 {
-	taken := max(0, min(count, b.tokens))
-	b.tokens -= taken
-	return taken
+// majority describes the support that shards need; shards with the same description have it
+// together.
+type majority struct {
+	group          int
+	epoch          uint64
+	earlierStopped bool
+}
+
+// hasMajorityLocked reports whether a majority of a group of voters supports this owner. A
+// voter that has known the epoch for less than VoteTTL may still count for an earlier owner,
+// unless all of those have certainly stopped.
+func (b *Broker) hasMajorityLocked(m majority, now time.Duration) bool {
+	hosts := b.voters[m.group]
+	count := 0
+	for _, host := range hosts {
+		s, ok := b.supporters[host]
+		if ok && s.votesFor(m.epoch, now) && (m.earlierStopped || s.settledIn(m.epoch, now)) {
+			count++
+		}
+	}
+	return 2*count > len(hosts)
+}
+
+// logReadyLocked logs a change of the shards of which this daemon grants tokens.
+func (b *Broker) logReadyLocked(ready ShardSet) {
+	if ready == b.ready {
+		return
+	}
+	b.log.WithFields(logrus.Fields{"shards": ready.Len(), "before": b.ready.Len(), "generation": b.assignment.Generation}).Info("broker: shards whose tokens this daemon grants changed")
+	b.ready = ready
 }
--- a/broker/election.go
+++ b/broker/election.go
@@ -4,101 +4,305 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/catkinrun/catkinrun"
 )
 
-// Serve checks the owner until ctx ends and claims the ownership when the owner has
-// failed. It implements suture.Service.
+const (
+	// ownerTimeout is the time without a response after which the first of the other hosts
+	// replaces an owner. Each further host waits claimInterval longer, in case those
+	// before it have failed too.
+	ownerTimeout  = 700 * time.Millisecond
+	claimInterval = 300 * time.Millisecond
+	// unreadyTimeout is the additional time before an owner that responds but does not
+	// grant tokens is replaced.
+	unreadyTimeout = 5 * time.Second
+	// pollInterval is the time between two checks of the owners.
+	pollInterval = 250 * time.Millisecond
+	// hostsPerOwner is the number of hosts for each owner, so that the token requests that one
+	// owner handles do not grow with the fleet.
+	hostsPerOwner = 64
+)
+
+// ownerHealth is what this daemon has seen of one owner.
+type ownerHealth struct {
+	owner        Owner
+	failingSince time.Time // since when the owner has not responded, zero if it responds
+	gone         bool      // its process has ended
+	ready        ShardSet  // shards of which it grants tokens
+	unreadySince time.Time // since when it has not been ready for all of its shards, zero if it is
+	granted      ShardSet  // shards of which it has granted tokens under the epochs in force
+}
+
+// RecordResponse records the response of an owner to a token request of this daemon, or the
+// error with which the request failed.
+func (b *Broker) RecordResponse(owner Owner, response *TokenResponse, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if response != nil && response.Assignment != nil {
+		b.applyLocked(*response.Assignment)
+	}
+	owned := b.assignment.OwnedBy(owner)
+	if owned == 0 {
+		return
+	}
+	h := b.healthLocked(owner)
+	now := b.clock.Now()
+	h.gone = ProcessEnded(owner, response, err)
+	trackSince(&h.failingSince, now, response == nil || h.gone)
+	h.ready = 0
+	if response != nil && !h.gone && response.Generation == b.assignment.Generation {
+		h.ready = response.Ready
+	}
+	h.granted |= h.ready & owned
+	trackSince(&h.unreadySince, now, owned.Without(h.ready) != 0)
+	if h.gone {
+		select {
+		case b.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// ProcessEnded reports whether an owner's process has certainly ended: its host refuses
+// connections, or another start of the daemon responds. An owner resigns before it refuses
+// connections.
+func ProcessEnded(owner Owner, response *TokenResponse, err error) bool {
+	if response == nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return response.Incarnation != owner.Incarnation
+}
+
+// trackSince sets since to the time from which a condition has held, zero if it does not.
+func trackSince(since *time.Time, now time.Time, holds bool) {
+	switch {
+	case !holds:
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
+	}
+}
+
+func (b *Broker) healthLocked(owner Owner) *ownerHealth {
+	h, ok := b.health[owner.Host]
+	if !ok || h.owner != owner {
+		h = &ownerHealth{owner: owner}
+		b.health[owner.Host] = h
+	}
+	return h
+}
+
+// forgetEpochsLocked removes what is known of the former epochs of shards, and of daemons
+// that own no shard any more.
+func (b *Broker) forgetEpochsLocked(reassigned ShardSet) {
+	for host, h := range b.health {
+		h.granted = h.granted.Without(reassigned)
+		if b.assignment.OwnedBy(h.owner) == 0 {
+			delete(b.health, host)
+		}
+	}
+}
+
+// Serve checks the owners until ctx ends and claims the shards of those that have failed. It
+// implements suture.Service.
 func (b *Broker) Serve(ctx context.Context) error {
 	for {
 		b.Poll(ctx)
-		if err := b.clock.Wait(ctx, pollInterval); err != nil {
+		waitCtx, cancel := context.WithTimeout(ctx, pollInterval)
+		select {
+		case <-b.wake:
+		case <-waitCtx.Done():
+		}
+		cancel()
+		if err := ctx.Err(); err != nil {
 			return err
 		}
 	}
 }
 
-// Poll claims the ownership if the owner has failed and it is the turn of this daemon.
+// Poll claims the shards whose owner this daemon should replace, if there are any.
 func (b *Broker) Poll(ctx context.Context) {
-	if b.shouldClaim() {
-		b.claim(ctx)
-	}
-}
-
-// shouldClaim reports whether this daemon should replace the owner. A restarted daemon on the
-// owner's host replaces it at once. The other hosts do so one after another in rendezvous
-// order, without ownerTimeout if the owner is leaving or is no longer a member.
-func (b *Broker) shouldClaim() bool {
 	members := b.members.Members()
 	b.mu.Lock()
-	owner, failure := b.owner, b.failureTimeLocked()
+	shards := b.shardsToClaimLocked(members)
 	b.mu.Unlock()
-	if owner.Host == b.self.Host {
-		return owner.Incarnation != b.self.Incarnation
+	if shards != 0 {
+		b.claim(ctx, shards)
+	}
+}
+
+// shardsToClaimLocked returns the shards that this daemon should own instead of their present
+// owner. The other hosts replace an owner one after another in rendezvous order, without
+// ownerTimeout if it is leaving, its process has ended, or it is no longer a member. A
+// restarted daemon replaces its earlier start at once.
+func (b *Broker) shardsToClaimLocked(members []catkinrun.Member) ShardSet {
+	if b.resigned || b.superseded {
+		return 0
 	}
-	var hosts []string
-	isMember := false
+	if b.assignment.Generation == 0 {
+		return b.claimFirstLocked(members)
+	}
+	var shards ShardSet
+	for _, owner := range b.assignment.Owners {
+		owned := b.assignment.OwnedBy(owner)
+		switch {
+		case owner == b.self:
+		case owner.Host == b.self.Host, b.failureTimeLocked(owner) >= b.claimDelayLocked(members, owner):
+			shards |= owned
+		}
+	}
+	if shards == 0 {
+		shards = b.shardsToTakeOverLocked(members)
+	}
+	return shards
+}
+
+func (b *Broker) claimFirstLocked(members []catkinrun.Member) ShardSet {
+	rank := b.rank(members, Owner{})
+	if rank < 0 || b.clock.Now().Sub(b.startedAt) < ownerTimeout+time.Duration(rank)*claimInterval {
+		return 0
+	}
+	return allShards
+}
+
+// rank returns the position of this daemon among the hosts that may replace an owner, -1 if
+// it is not among them. Hosts that own no shard come first.
+func (b *Broker) rank(members []catkinrun.Member, owner Owner) int {
+	var free, owning []string
 	for _, m := range members {
-		isMember = isMember || m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving
-		if !m.Leaving && m.Host != owner.Host {
-			hosts = append(hosts, m.Host)
+		switch {
+		case m.Leaving || m.Host == owner.Host:
+		case slices.ContainsFunc(b.assignment.Owners, func(o Owner) bool { return o.Host == m.Host }):
+			owning = append(owning, m.Host)
+		default:
+			free = append(free, m.Host)
 		}
 	}
-	rank := slices.Index(catkinrun.RendezvousOrder(RowKey, hosts), b.self.Host)
+	order := append(catkinrun.RendezvousOrder(RowKey, free), catkinrun.RendezvousOrder(RowKey, owning)...)
+	return slices.Index(order, b.self.Host)
+}
+
+// claimDelayLocked returns how long an owner must have failed before this daemon replaces it.
+func (b *Broker) claimDelayLocked(members []catkinrun.Member, owner Owner) time.Duration {
+	rank := b.rank(members, owner)
+	if rank < 0 {
+		return neverClaim
+	}
 	delay := ownerTimeout + time.Duration(rank)*claimInterval
-	if !isMember {
+	isMember := slices.ContainsFunc(members, func(m catkinrun.Member) bool {
+		return m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving
+	})
+	h, ok := b.health[owner.Host]
+	if !isMember || ok && h.owner == owner && h.gone {
 		delay -= ownerTimeout
 	}
-	return rank >= 0 && failure >= delay
+	return delay
 }
 
-// failureTimeLocked returns how long the owner has failed to respond to this daemon. An owner
-// that responds but does not grant tokens counts as failed after unreadyTimeout. If there is
-// no owner yet, failureTimeLocked returns the time since this daemon's start.
-func (b *Broker) failureTimeLocked() time.Duration {
+// neverClaim is longer than any failure.
+const neverClaim = time.Duration(1<<63 - 1)
+
+// failureTimeLocked returns how long an owner has failed to respond to this daemon. An owner
+// that responds but does not grant tokens counts as failed after unreadyTimeout.
+func (b *Broker) failureTimeLocked(owner Owner) time.Duration {
+	h, ok := b.health[owner.Host]
+	if !ok || h.owner != owner {
+		return 0
+	}
 	now := b.clock.Now()
 	failure := time.Duration(0)
-	if b.owner.Epoch == 0 {
-		failure = now.Sub(b.startedAt)
-	}
-	if !b.failingSince.IsZero() {
-		failure = now.Sub(b.failingSince)
+	if !h.failingSince.IsZero() {
+		failure = now.Sub(h.failingSince)
 	}
-	if !b.unreadySince.IsZero() {
-		failure = max(failure, now.Sub(b.unreadySince)-unreadyTimeout)
+	if !h.unreadySince.IsZero() {
+		failure = max(failure, now.Sub(h.unreadySince)-unreadyTimeout)
 	}
 	return failure
 }
 
-func (b *Broker) claim(ctx context.Context) {
-	value, err := json.Marshal(b.self)
+// shardsToTakeOverLocked returns part of the shards of the owner with the most, if the fleet
+// has fewer owners than its size asks for and this daemon is the next one. All owners must be
+// responding.
+func (b *Broker) shardsToTakeOverLocked(members []catkinrun.Member) ShardSet {
+	wanted := min((len(members)+hostsPerOwner-1)/hostsPerOwner, ShardCount)
+	if len(b.assignment.Owners) >= wanted || b.rank(members, Owner{}) != 0 {
+		return 0
+	}
+	var most ShardSet
+	for _, owner := range b.assignment.Owners {
+		h, ok := b.health[owner.Host]
+		if owner == b.self || !ok || h.owner != owner || !h.failingSince.IsZero() || !h.unreadySince.IsZero() {
+			return 0
+		}
+		if owned := b.assignment.OwnedBy(owner); owned.Len() > most.Len() {
+			most = owned
+		}
+	}
+	return most.first(min(ShardCount/wanted, most.Len()-1))
+}
+
+// claim makes this daemon the owner of shards.
+func (b *Broker) claim(ctx context.Context, shards ShardSet) {
+	b.mu.Lock()
+	earlier, revision := b.assignment, b.revision
+	granted := make(map[Owner]ShardSet)
+	for _, h := range b.health {
+		granted[h.owner] = h.granted
+	}
+	b.mu.Unlock()
+	next := earlier.WithOwner(shards, b.self)
+	value, err := json.Marshal(next)
 	if err != nil {
-		b.log.WithError(err).Error("broker: cannot encode the owner's row")
+		b.log.WithError(err).Error("broker: cannot encode the assignment of owners")
 		return
 	}
-	earlier := b.Owner()
-	epoch := earlier.Epoch
 	page, err := b.store.Commit(ctx, catkinrun.Transaction{
-		Preconditions: []catkinrun.Precondition{{Table: b.table, Key: RowKey, Revision: epoch}},
+		Preconditions: []catkinrun.Precondition{{Table: b.table, Key: RowKey, Revision: revision}},
 		Writes:        []catkinrun.Write{{Table: b.table, Key: RowKey, Value: value}},
 	})
 	if err != nil {
-		b.log.WithError(err).WithField("epoch", epoch).Info("broker: ownership not claimed")
+		b.log.WithError(err).WithField("generation", next.Generation).Info("broker: shards not claimed")
+		b.applyCurrent(err)
 		return
 	}
 	b.applyRow(catkinrun.Row{Key: RowKey, Value: value, Revision: page.Revision})
-	if epoch == 0 || b.confirmStopped(ctx, earlier, page.Revision) {
-		b.recordPredecessorStopped(page.Revision)
+	if earlier.Generation == 0 && revision == 0 {
+		b.recordStopped(next, shards)
+		return
+	}
+	for _, owner := range earlier.Owners {
+		// Only an owner that granted tokens proves that those before it had stopped.
+		if lost := earlier.OwnedBy(owner) & shards & granted[owner]; lost != 0 {
+			b.recordStopped(next, b.confirmStopped(ctx, owner, lost, next))
+		}
+	}
+}
+
+// applyCurrent applies the row with which the store answered a failed precondition.
+func (b *Broker) applyCurrent(err error) {
+	var precondition *catkinrun.PreconditionError
+	if !errors.As(err, &precondition) {
+		return
 	}
+	if precondition.Current.Revision > 0 {
+		b.applyRow(precondition.Current)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.revision = 0 // the row has been removed
 }
 
-// recordPredecessorStopped records that the owner before epoch has stopped granting tokens.
-func (b *Broker) recordPredecessorStopped(epoch catkinrun.Revision) {
+// recordStopped records shards of whose tokens all earlier owners have stopped granting.
+func (b *Broker) recordStopped(assignment Assignment, shards ShardSet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.owner.Epoch == epoch {
-		b.predecessorStopped = true
+	if b.assignment.Generation == assignment.Generation {
+		b.earlierStopped |= shards
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,11 +77,12 @@
 
 // Daemon runs the components of one host's daemon.
 type Daemon struct {
-	settings loader.Settings
-	clock    catkinrun.Clock
-	journal  *journaler.Journal
-	log      *logrus.Logger
-	metrics  *metrics.Set
+	settings    loader.Settings
+	incarnation string // of this start
+	clock       catkinrun.Clock
+	journal     *journaler.Journal
+	log         *logrus.Logger
+	metrics     *metrics.Set
 
 	configuration *follower.Follower
 	members       *follower.Follower
@@ -103,7 +104,7 @@
 
 // New builds a daemon and opens its listeners. It fails with *ListenError.
 func New(settings loader.Settings, clock catkinrun.Clock, journal *journaler.Journal) (*Daemon, error) {
-	d := &Daemon{settings: settings, clock: clock, journal: journal, log: journal.Logger(), metrics: metrics.NewSet()}
+	d := &Daemon{settings: settings, incarnation: newIncarnation(), clock: clock, journal: journal, log: journal.Logger(), metrics: metrics.NewSet()}
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Memory) * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
 	d.build()
@@ -116,7 +117,7 @@
 // build creates the components and passes each its dependencies.
 func (d *Daemon) build() {
 	s := d.settings
-	self := catkinrun.Member{Host: s.Host, Zone: s.Zone, Peer: s.Listen.Peer, Operator: s.Listen.Operator, Incarnation: newIncarnation()}
+	self := catkinrun.Member{Host: s.Host, Zone: s.Zone, Peer: s.Listen.Peer, Operator: s.Listen.Operator, Incarnation: d.incarnation}
 	peers := exchanger.New(dialTimeout, peerIdleTimeout, maxIdlePeerConns)
 	d.peerClient = messenger.New(&http.Client{Transport: peers.Transport()})
 	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdleTimeout, maxIdleStoreConns)}, time.Duration(s.Times.Store))
@@ -124,12 +125,12 @@
 	d.locator = locator.New(d.log)
 	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self, time.Duration(drainServeFraction*float64(s.Times.Drain)))
 	d.broker = broker.New(store, d.locator, d.configurer, d.clock, d.log, locator.Table,
-		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: self.Incarnation}, d.ownerStopped)
-	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host)
+		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.ownerStopped)
+	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host, d.incarnation)
 	d.configuration = follower.New(store, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
 	d.members = follower.New(store, d.clock, d.log, locator.Table, membersInterval, d.applyMembers)
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
-	d.syncer = syncer.New(d.configurer, d.locator, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
+	d.syncer = syncer.New(d.configurer, d.locator, d.broker, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
 	d.admitter = admitter.New(initialSlots, d.clock)
 	deps := &filterer.Dependencies{
 		Self: self, Service: s.Service, Server: s.Server, HeaderCodec: platform.HeaderCodec{},
@@ -241,6 +242,7 @@
 	d.log.WithField("running", d.running.Load()).Info("daemon: leaving")
 	d.waitUntil(ctx, startedAt.Add(time.Duration(serveFraction*float64(stop))))
 	d.stopping.Store(true)
+	d.broker.Resign()
 	for _, name := range []string{"caller", "peer"} {
 		d.findListener(name).stopAccepting()
 	}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -16,8 +16,8 @@
 	AgeSeconds float64            `json:"age-seconds"`
 	Ready      bool               `json:"ready"`
 	Running    int64              `json:"running"`
-	Load       float64            `json:"load"` // of the server beside the daemon, per slot of its concurrency limit
-	Owner      broker.Owner       `json:"owner"`
+	Load       float64            `json:"load"`   // of the server beside the daemon, per slot of its concurrency limit
+	Owners     []broker.Owner     `json:"owners"` // of the teams' rates
 	Members    []catkinrun.Member `json:"members"`
 }
 
@@ -35,8 +35,9 @@
 }
 
 func (d *Daemon) status() Status {
+	assignment, _ := d.broker.Assignment()
 	return Status{
 		Host: d.settings.Host, Version: d.configurer.Snapshot().Version(), AgeSeconds: d.configurer.Age().Seconds(),
-		Ready: d.ready(), Running: d.running.Load(), Load: d.admitter.Load(), Owner: d.broker.Owner(), Members: d.locator.Members(),
+		Ready: d.ready(), Running: d.running.Load(), Load: d.admitter.Load(), Owners: assignment.Owners, Members: d.locator.Members(),
 	}
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,12 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/broker"
 	"github.com/catkinrun/catkinrun/messenger"
 )
@@ -24,15 +20,20 @@
 	return hex.EncodeToString(raw)
 }
 
-// Owner implements limiter.OwnerClient.
-func (d *Daemon) Owner() broker.Owner { return d.broker.Owner() }
+// Assignment implements limiter.Client.
+func (d *Daemon) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
+	return d.broker.Assignment()
+}
 
-// RecordResponse implements limiter.OwnerClient.
-func (d *Daemon) RecordResponse(epoch catkinrun.Revision, response *broker.TokenResponse) {
-	d.broker.RecordResponse(epoch, response)
+// RecordResponse implements limiter.Client.
+func (d *Daemon) RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error) {
+	d.broker.RecordResponse(owner, response, err)
 }
 
-// RequestTokens implements limiter.OwnerClient. If this daemon is the owner, it calls its own
+// IsVoter implements limiter.Client.
+func (d *Daemon) IsVoter() bool { return d.broker.IsVoter() }
+
+// RequestTokens implements limiter.Client. If this daemon is the owner, it calls its own
 // broker directly.
 func (d *Daemon) RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error) {
 	if owner.Host == d.settings.Host {
@@ -46,15 +47,20 @@
 const ownerStopTimeout = 300 * time.Millisecond
 
 // ownerStopped implements broker.ConfirmStopped.
-func (d *Daemon) ownerStopped(ctx context.Context, earlier broker.Owner, epoch catkinrun.Revision) bool {
+func (d *Daemon) ownerStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) broker.ShardSet {
 	if earlier.Host == d.settings.Host {
-		return true // an earlier start of this daemon
+		return shards // an earlier start of this daemon
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerStopTimeout)
 	defer cancel()
-	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: d.settings.Host, Epoch: epoch})
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{
+		Host: d.settings.Host, Incarnation: d.incarnation, Generation: assignment.Generation, Assignment: &assignment,
+	})
+	switch {
+	case broker.ProcessEnded(earlier, response, err):
+		return shards
+	case err != nil || response.Generation < assignment.Generation:
+		return 0
 	}
-	return response.Incarnation != earlier.Incarnation || !response.Ready
+	return shards.Without(response.Ready)
 }
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -47,8 +47,13 @@
 // ownerless reports that no daemon owns the rates.
 type ownerless struct{}
 
-func (ownerless) Owner() broker.Owner                                      { return broker.Owner{} }
-func (ownerless) RecordResponse(catkinrun.Revision, *broker.TokenResponse) {}
+func (ownerless) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
+	return broker.Assignment{}, nil
+}
+func (ownerless) ApplyAssignment(broker.Assignment)                         {}
+func (ownerless) RecordResponse(broker.Owner, *broker.TokenResponse, error) {}
+func (ownerless) IsVoter() bool { return false }
+
 func (ownerless) RequestTokens(context.Context, broker.Owner, *broker.TokenRequest) (*broker.TokenResponse, error) {
 	return nil, &catkinrun.NotFoundError{Kind: "owner"}
 }
@@ -93,9 +98,9 @@
 	return filterer.NewGateway(&filterer.Dependencies{
 		Self: self, Service: service, Server: address, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
 		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.5 }),
-		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, "h"),
+		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, "h", "n"),
 		Router:  router.New(hosts, system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
-		Registrar: reg, Admitter: adm, Syncer: syncer.New(conf, hosts, nil, system, log, self.Peer, func() bool { return false }),
+		Registrar: reg, Admitter: adm, Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
 		Peers: exchanger.New(time.Second, time.Second, 4), Backend: exchanger.New(time.Second, time.Second, 4),
 		Stopping: func() bool { return stopping }, Clock: system, Journal: journal,
 	}, func() float64 { return 0.5 }, func(filterer.Listener, string, time.Duration) {})
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -4,17 +4,16 @@
 	"math"
 	"time"
 
-	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/broker"
 )
 
 // bucket holds the tokens of one team at this daemon.
 type bucket struct {
-	tokens         float64 // of the local share
+	local          float64 // tokens of the local share
 	refilledAt     time.Time
-	granted        float64 // tokens granted by the owner
+	granted        int // tokens granted by the owner
 	grantExpiresAt time.Time
-	grantEpoch     catkinrun.Revision // epoch of the owner that granted them
+	grantEpoch     uint64 // epoch of the shard in which they were granted
 
 	arrivals      float64 // since the last token request
 	measuredAt    time.Time
@@ -23,45 +22,62 @@
 	lastArrivalAt time.Time
 }
 
-func newBucket(startedAt, now time.Time) *bucket {
-	return &bucket{refilledAt: startedAt, measuredAt: now, lastArrivalAt: now}
+// newBucket returns the bucket of a team whose local share has accrued since localSince.
+func newBucket(localSince, now time.Time) *bucket {
+	return &bucket{refilledAt: localSince, measuredAt: now, lastArrivalAt: now}
 }
 
-// refill adds the tokens that the local share has accrued.
-func (b *bucket) refill(now time.Time, rate, burst float64) {
-	b.tokens = min(b.tokens+rate*now.Sub(b.refilledAt).Seconds(), burst)
-	b.refilledAt = now
+// refillLocal adds the tokens that the local share has accrued since the daemon was last in
+// touch with the owner. While it is in touch the share accrues nothing, and what was left of
+// it belongs to the owner; tokens used in advance are still owed.
+func (b *bucket) refillLocal(now, ceded time.Time, rate, burst float64) {
+	if b.refilledAt.Before(ceded) {
+		b.refilledAt = ceded
+		b.local = min(b.local, 0)
+	}
+	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
+		b.local = min(b.local+rate*elapsed.Seconds(), burst)
+		b.refilledAt = now
+	}
 }
 
-// take spends one token: a granted one if there is one that has not expired, else one of
-// the local share, which may go below zero by overdraft.
-func (b *bucket) take(now time.Time, overdraft float64) bool {
-	if b.granted >= 1 && now.Before(b.grantExpiresAt) {
-		b.granted--
-		return true
+// takeGranted spends one token granted by the owner.
+func (b *bucket) takeGranted(now time.Time) bool {
+	if b.granted < 1 || !now.Before(b.grantExpiresAt) {
+		return false
 	}
-	if b.tokens >= 1-overdraft {
-		b.tokens--
-		return true
+	b.granted--
+	return true
+}
+
+// takeLocal spends one token of the local share, which may go below zero by overdraft.
+func (b *bucket) takeLocal(overdraft float64) bool {
+	if b.local < 1-overdraft {
+		return false
 	}
-	return false
+	b.local--
+	return true
 }
 
 // addGrant adds tokens granted by the owner.
-func (b *bucket) addGrant(tokens float64, epoch catkinrun.Revision, expiresAt time.Time) {
+func (b *bucket) addGrant(tokens int, epoch uint64, expiresAt time.Time) {
 	b.granted += tokens
 	b.grantEpoch = epoch
 	b.grantExpiresAt = expiresAt
 }
 
-// clearDemand resets the demand of a team without requests and drops its granted tokens.
-// Its local share continues to accrue.
-func (b *bucket) clearDemand() { b.demand, b.arrivals, b.waiting, b.granted = 0, 0, 0, 0 }
+// idle reports whether the bucket can be dropped: its team has sent no requests for a while
+// and it owes no tokens.
+func (b *bucket) idle(now time.Time) bool {
+	return now.Sub(b.lastArrivalAt) > idleTimeout && b.local >= 0 && b.waiting == 0
+}
 
 // teamRequest builds the entry of a team in a token request. The entry returns all granted
-// tokens, so that the owner can grant them again with a new expiry time, and requests tokens
-// for the requests that wait and for those expected in forecastWindow.
-func (b *bucket) teamRequest(team string, epoch catkinrun.Revision, now time.Time) broker.TeamRequest {
+// tokens, so that the owner can grant them again with a new expiry time or to another host,
+// and requests tokens for the requests that wait and for those expected in forecastWindow. A
+// daemon that expects less than one request asks for it when it arrives, so that the tokens
+// of a team do not lie idle at all hosts.
+func (b *bucket) teamRequest(team string, epoch uint64, now time.Time) broker.TeamRequest {
 	if elapsed := now.Sub(b.measuredAt); elapsed > 0 {
 		weight := 1 - math.Exp(-elapsed.Seconds()/demandDecayTime.Seconds())
 		b.demand += weight * (b.arrivals/elapsed.Seconds() - b.demand)
@@ -72,5 +88,5 @@
 		returned = 0 // granted by an earlier owner
 	}
 	b.granted = 0
-	return broker.TeamRequest{Team: team, Returned: returned, Tokens: b.demand*forecastWindow.Seconds() + float64(b.waiting) + 1}
+	return broker.TeamRequest{Team: team, Returned: returned, Tokens: b.waiting + int(b.demand*forecastWindow.Seconds())}
 }
--- /dev/null
+++ b/limiter/fleet_test.go
@@ -0,0 +1,354 @@
+package limiter_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/broker"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/configurer"
+	"github.com/catkinrun/catkinrun/limiter"
+)
+
+// A liveFleet runs the real goroutines of many daemons in the fake time of a synctest bubble.
+// Messages take time, so that token requests overlap as they do between hosts.
+type liveFleet struct {
+	hosts []*liveHost
+	teams []catkinrun.Team
+	store *liveStore
+
+	served, refused atomic.Int64
+	mu              sync.Mutex
+	servedAt        map[string][]time.Time // by team
+}
+
+// liveHost is one daemon.
+type liveHost struct {
+	fleet   *liveFleet
+	name    string
+	broker  *broker.Broker
+	limiter *limiter.Limiter
+	crashed atomic.Bool // the process has ended
+	cut     atomic.Bool // from the store and all other daemons
+	end     context.CancelFunc
+}
+
+// liveStore holds the assignment's row and passes changes on to all daemons.
+type liveStore struct {
+	catkinrun.Store
+	fleet *liveFleet
+	mu    sync.Mutex
+	row   catkinrun.Row
+}
+
+const (
+	networkDelay = time.Millisecond // one way, between availability zones
+	storeDelay   = 5 * time.Millisecond
+	// callTimeout is the time after which a message to a host that is cut off fails.
+	callTimeout = 300 * time.Millisecond
+	// settleTime is the time from the start of the daemons until traffic begins.
+	settleTime = 8 * time.Second
+)
+
+func (s *liveStore) Commit(_ context.Context, t catkinrun.Transaction) (catkinrun.Page, error) {
+	time.Sleep(storeDelay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.Preconditions[0].Revision != s.row.Revision {
+		return catkinrun.Page{}, &catkinrun.PreconditionError{Key: t.Preconditions[0].Key, Current: s.row}
+	}
+	s.row = catkinrun.Row{Key: t.Writes[0].Key, Value: t.Writes[0].Value, Revision: s.row.Revision + 1}
+	row := s.row
+	time.AfterFunc(storeDelay, func() {
+		for _, h := range s.fleet.hosts {
+			if !h.cut.Load() {
+				h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{row}})
+			}
+		}
+	})
+	return catkinrun.Page{Revision: row.Revision}, nil
+}
+
+func (f *liveFleet) Members() []catkinrun.Member {
+	members := make([]catkinrun.Member, 0, len(f.hosts))
+	for _, h := range f.hosts {
+		members = append(members, catkinrun.Member{Host: h.name, Peer: h.name, Incarnation: h.name})
+	}
+	return members
+}
+func (f *liveFleet) Count() int { return len(f.hosts) }
+
+func (h *liveHost) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
+	return h.broker.Assignment()
+}
+
+func (h *liveHost) RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error) {
+	h.broker.RecordResponse(owner, response, err)
+}
+
+func (h *liveHost) IsVoter() bool { return h.broker.IsVoter() }
+
+func (h *liveHost) RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error) {
+	to := h.fleet.host(owner.Host)
+	if to == h {
+		return h.broker.GrantTokens(ctx, request)
+	}
+	if h.cut.Load() || to.cut.Load() {
+		time.Sleep(callTimeout)
+		return nil, context.DeadlineExceeded
+	}
+	time.Sleep(networkDelay)
+	if to.crashed.Load() {
+		return nil, syscall.ECONNREFUSED
+	}
+	response, err := to.broker.GrantTokens(ctx, request)
+	time.Sleep(networkDelay)
+	return response, err
+}
+
+func (h *liveHost) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) broker.ShardSet {
+	response, err := h.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: h.name, Incarnation: h.name, Generation: assignment.Generation, Assignment: &assignment})
+	switch {
+	case broker.ProcessEnded(earlier, response, err):
+		return shards
+	case err != nil || response.Generation < assignment.Generation:
+		return 0
+	}
+	return shards.Without(response.Ready)
+}
+
+func (f *liveFleet) host(name string) *liveHost {
+	for _, h := range f.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// owner returns the host that owns a team's shard.
+func (f *liveFleet) owner(team string) *liveHost {
+	for _, h := range f.hosts {
+		if h.crashed.Load() || h.cut.Load() {
+			continue
+		}
+		assignment, _ := h.broker.Assignment()
+		if owner, ok := assignment.Owner(broker.ShardOf(team)); ok {
+			return f.host(owner.Host)
+		}
+	}
+	return nil
+}
+
+// startFleet starts the daemons and waits until traffic may begin.
+func startFleet(t *testing.T, hosts int, teams []catkinrun.Team) *liveFleet {
+	t.Helper()
+	f := &liveFleet{teams: teams, servedAt: make(map[string][]time.Time)}
+	f.store = &liveStore{fleet: f}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	snapshots := configurer.New(clock.System{}, log)
+	var resources []catkinrun.Resource
+	for i := range teams {
+		resources = append(resources, catkinrun.Resource{Kind: catkinrun.KindTeam, Name: teamNames(i), Team: &teams[i]})
+	}
+	_, err := snapshots.Apply(catkinrun.SnapshotData{Version: 1, Resources: resources}, "test")
+	is.New(t).NoErr(err)
+	for i := range hosts {
+		h := &liveHost{fleet: f, name: fmt.Sprintf("host-%03d", i)}
+		h.broker = broker.New(f.store, f, snapshots, clock.System{}, log, ownerTable, broker.Owner{Host: h.name, Peer: h.name, Incarnation: h.name}, h.confirmStopped)
+		h.limiter = limiter.New(snapshots, f, h, clock.System{}, log, h.name, h.name)
+		f.hosts = append(f.hosts, h)
+	}
+	for _, h := range f.hosts {
+		ctx, cancel := context.WithCancel(t.Context())
+		h.end = cancel
+		go func() { _ = h.broker.Serve(ctx) }()
+		go func() { _ = h.limiter.Serve(ctx) }()
+	}
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			h.end()
+		}
+		synctest.Wait()
+		time.Sleep(settleTime) // messages that are on their way end
+	})
+	time.Sleep(settleTime)
+	return f
+}
+
+func teamNames(i int) string { return fmt.Sprint("team-", i) }
+
+func (h *liveHost) crash() {
+	h.crashed.Store(true)
+	h.end()
+}
+
+// patience is that of a route with an objective of 2 s.
+var patience = limiter.Patience{NoAnswer: 500 * time.Millisecond, AboveRate: 250 * time.Millisecond}
+
+// request sends a request of a team through a host.
+func (h *liveHost) request(ctx context.Context, team string) {
+	if h.limiter.Take(ctx, team, patience) != nil {
+		h.fleet.refused.Add(1)
+		return
+	}
+	h.fleet.served.Add(1)
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	h.fleet.servedAt[team] = append(h.fleet.servedAt[team], time.Now())
+}
+
+// load sends requests of a team at a rate through random hosts for a while and waits for
+// their ends.
+func (f *liveFleet) load(ctx context.Context, random *rand.Rand, team string, perSecond float64, hosts []*liveHost, duration time.Duration) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		h := hosts[random.IntN(len(hosts))]
+		if !h.crashed.Load() {
+			running.Go(func() { h.request(ctx, team) })
+		}
+	}
+}
+
+// requireRefusedBelow fails the test if more than a percentage of the requests since the last
+// call were refused.
+func (f *liveFleet) requireRefusedBelow(t *testing.T, percent float64) {
+	t.Helper()
+	served, refused := f.served.Swap(0), f.refused.Swap(0)
+	if refusedPercent := 100 * float64(refused) / float64(max(1, served+refused)); refusedPercent >= percent {
+		t.Fatalf("%.1f %% of %d requests within the rate refused, expected less than %.0f %%", refusedPercent, served+refused, percent)
+	}
+}
+
+// checkBound fails the test if a team was served more than the users' bound in some window.
+func (f *liveFleet) checkBound(t *testing.T) {
+	t.Helper()
+	for i, team := range f.teams {
+		times := f.servedAt[teamNames(i)]
+		bound := (team.Rate*window.Seconds()+team.Burst)*(1+boundTolerance) + boundAllowance
+		first := 0
+		for last, at := range times {
+			for at.Sub(times[first]) > window {
+				first++
+			}
+			if count := last - first + 1; float64(count) > bound {
+				t.Fatalf("%d requests of %s served in a window, above the bound of %.0f", count, teamNames(i), bound)
+			}
+		}
+	}
+}
+
+func sameTeams(count int, rate float64) []catkinrun.Team {
+	teams := make([]catkinrun.Team, count)
+	for i := range teams {
+		teams[i] = catkinrun.Team{Rate: rate, Burst: rate}
+	}
+	return teams
+}
+
+// TestThinDemandAcrossManyHosts sends 62 % of the rates of 90 small teams through 100 hosts,
+// so that a host sees a request of a team every 20 s. An even division of the rates among
+// the hosts, or tokens held in advance by hosts, would refuse many of them.
+func TestThinDemandAcrossManyHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 100, sameTeams(90, 7))
+		random := rand.New(rand.NewPCG(1, 1))
+		var loads sync.WaitGroup
+		for i := range f.teams {
+			team := rand.New(rand.NewPCG(2, random.Uint64()))
+			loads.Go(func() { f.load(t.Context(), team, teamNames(i), 0.62*7, f.hosts, 10*time.Second) })
+		}
+		loads.Wait()
+		f.requireRefusedBelow(t, 2)
+		f.checkBound(t)
+	})
+}
+
+// TestTeamOnFewHostsSurvivesCrashOfOwner ends the process of the owner. Requests of a team on
+// two of 100 hosts wait for the next owner instead of being refused.
+func TestTeamOnFewHostsSurvivesCrashOfOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 100, sameTeams(1, 100))
+		owner := f.owner(teamNames(0))
+		var hosts []*liveHost
+		for _, h := range f.hosts {
+			if h != owner && len(hosts) < 2 {
+				hosts = append(hosts, h)
+			}
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		f.load(t.Context(), random, teamNames(0), 60, hosts, 2*time.Second)
+		f.requireRefusedBelow(t, 2)
+		owner.crash()
+		f.load(t.Context(), random, teamNames(0), 60, hosts, 2*time.Second)
+		f.requireRefusedBelow(t, 5)
+		f.checkBound(t)
+	})
+}
+
+// TestOwnerCutOffIsReplaced cuts the owner off without a sign to the other hosts, and checks
+// that teams are served within their rates three seconds later.
+func TestOwnerCutOffIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 100, sameTeams(20, 30))
+		f.owner(teamNames(0)).cut.Store(true)
+		time.Sleep(3 * time.Second)
+		random := rand.New(rand.NewPCG(1, 3))
+		var loads sync.WaitGroup
+		var reachable []*liveHost
+		for _, h := range f.hosts {
+			if !h.cut.Load() {
+				reachable = append(reachable, h)
+			}
+		}
+		for i := range f.teams {
+			team := rand.New(rand.NewPCG(2, random.Uint64()))
+			loads.Go(func() { f.load(t.Context(), team, teamNames(i), 0.62*30, reachable, 3*time.Second) })
+		}
+		loads.Wait()
+		f.requireRefusedBelow(t, 2)
+	})
+}
+
+// TestBoundHoldsWhileHostsAreCutOff sends eight times the rate of each team through all
+// hosts, while a sixth of the hosts, the owner among them, is cut off and returns.
+func TestBoundHoldsWhileHostsAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 30, sameTeams(4, 40))
+		random := rand.New(rand.NewPCG(1, 4))
+		var loads sync.WaitGroup
+		for i := range f.teams {
+			team := rand.New(rand.NewPCG(2, random.Uint64()))
+			loads.Go(func() { f.load(t.Context(), team, teamNames(i), 8*40, f.hosts, 25*time.Second) })
+		}
+		time.Sleep(6 * time.Second)
+		for _, h := range f.hosts[:5] {
+			h.cut.Store(true)
+		}
+		f.owner(teamNames(1)).cut.Store(true)
+		time.Sleep(6 * time.Second)
+		for _, h := range f.hosts {
+			h.cut.Store(false)
+			h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}})
+		}
+		time.Sleep(4 * time.Second)
+		f.owner(teamNames(1)).crash()
+		loads.Wait()
+		f.checkBound(t)
+	})
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,6 +1,7 @@
 // Package limiter limits the teams to their rates at this daemon.
 //
-//	request -> Take -> a token granted by the owner, else one of the local share
+//	request -> Take -> a token granted by the owner, or one of the local share if this daemon
+//	                   is out of touch with the owner
 //	periodically, and at once if a team lacks tokens: token request -> owner -> grants
 //
 // Granted tokens are valid for a short time after the token request was sent. The next
@@ -19,18 +20,11 @@
 )
 
 const (
-	// requestInterval is the time between token requests. Grants follow a change in demand
-	// within a second.
-	requestInterval = 150 * time.Millisecond
 	// grantTTL is how long granted tokens are valid. Over the 5 s window of the bound on
-	// a team's requests, it can raise the owner's share of the rate by 8 %, within the
-	// bound's tolerance of 10 %.
+	// a team's requests, it can raise the rate by 8 %, within the bound's tolerance of 10 %.
 	grantTTL = 400 * time.Millisecond
-	// requestTimeout bounds one token request.
-	requestTimeout = 300 * time.Millisecond
-	// minRequestInterval is the minimum time between two token requests for lack of tokens.
-	minRequestInterval = 10 * time.Millisecond
-	// forecastWindow is the period whose expected requests a token request covers.
+	// forecastWindow is the period whose expected requests a token request covers. It is
+	// longer than the time between two token requests.
 	forecastWindow = 250 * time.Millisecond
 	// maxOverdraft is the number of requests that all hosts together may let through before
 	// their local shares have accrued the tokens, so that a local share of less than one
@@ -39,16 +33,16 @@
 	// demandDecayTime is the time over which a team's demand is averaged: two intervals
 	// between token requests.
 	demandDecayTime = 300 * time.Millisecond
-	// idleTimeout is the time after which a team without requests is left out of token
-	// requests.
+	// idleTimeout is the time after which the bucket of a team without requests is dropped.
 	idleTimeout = 10 * time.Second
 )
 
-// OwnerClient sends token requests to the owner and records its responses.
-type OwnerClient interface {
-	Owner() broker.Owner
+// Client sends token requests to the owners and records their responses.
+type Client interface {
+	Assignment() (assignment broker.Assignment, changed <-chan struct{})
 	RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error)
-	RecordResponse(epoch catkinrun.Revision, response *broker.TokenResponse)
+	RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error)
+	IsVoter() bool
 }
 
 // Members counts the hosts among which the local shares are divided.
@@ -56,162 +50,271 @@
 	Count() int
 }
 
+// Patience is how long a request may wait for a token.
+type Patience struct {
+	NoAnswer  time.Duration // for the owner's response
+	AboveRate time.Duration // after a response without enough tokens
+}
+
 // Limiter lets requests through while their team has tokens at this daemon.
 type Limiter struct {
-	snapshots  broker.SnapshotSource
-	members    Members
-	client     OwnerClient
-	clock      catkinrun.Clock
-	log        logrus.FieldLogger
-	host       string
-	requestNow chan struct{}
+	snapshots   broker.SnapshotSource
+	members     Members
+	client      Client
+	clock       catkinrun.Clock
+	log         logrus.FieldLogger
+	host        string
+	incarnation string
 
 	startedAt time.Time
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
-	granted chan struct{} // closed and replaced when a response has arrived
+	mu         sync.Mutex
+	assignment broker.Assignment
+	sessions   map[broker.Owner]*session
+	ceded      [broker.ShardCount]time.Time // by shard: until when the owner grants this host's local share
+	buckets    map[string]*bucket
+	responded  chan struct{} // closed and replaced when a response has arrived
 }
 
-// New returns a limiter for the daemon of a host.
-func New(snapshots broker.SnapshotSource, members Members, client OwnerClient, clock catkinrun.Clock, log logrus.FieldLogger, host string) *Limiter {
+// New returns a limiter for one start of the daemon of a host.
+func New(snapshots broker.SnapshotSource, members Members, client Client, clock catkinrun.Clock, log logrus.FieldLogger, host, incarnation string) *Limiter {
 	return &Limiter{
-		snapshots: snapshots, members: members, client: client, clock: clock, log: log, host: host,
-		startedAt: clock.Now(), requestNow: make(chan struct{}, 1), buckets: make(map[string]*bucket), granted: make(chan struct{}),
+		snapshots: snapshots, members: members, client: client, clock: clock, log: log, host: host, incarnation: incarnation,
+		startedAt: clock.Now(), sessions: make(map[broker.Owner]*session), buckets: make(map[string]*bucket), responded: make(chan struct{}),
 	}
 }
 
-// Take spends one token of a team for a request. It waits at most queueTimeout for the
-// token, and fails with *catkinrun.Refusal.
-func (l *Limiter) Take(ctx context.Context, name string, queueTimeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, queueTimeout)
-	defer cancel()
-	l.recordArrival(name)
+// Take spends one token of a team for a request. It waits for the token no longer than
+// patience allows, and fails with *catkinrun.Refusal.
+func (l *Limiter) Take(ctx context.Context, team string, patience Patience) error {
+	arrivedAt := l.recordArrival(team)
+	deadline, answered := arrivedAt.Add(patience.NoAnswer), false
 	for {
-		retryAfter, granted, ok := l.tryTake(name)
-		if ok {
+		result := l.tryTake(team)
+		switch {
+		case result.taken:
 			return nil
+		case result.responded == nil:
+			return l.refuse(team, true, result.retryAfter)
 		}
-		select {
-		case l.requestNow <- struct{}{}:
-		default:
+		if !answered && result.answeredAt.After(arrivedAt) {
+			deadline, answered = result.answeredAt.Add(patience.AboveRate), true
 		}
-		select {
-		case <-granted:
-		case <-ctx.Done():
-			return l.refuse(name, retryAfter)
+		if !l.waitForResponse(ctx, result.responded, deadline) {
+			return l.refuse(team, answered, result.retryAfter)
 		}
 	}
 }
 
-func (l *Limiter) refuse(name string, retryAfter time.Duration) error {
+// waitForResponse waits until an owner has responded. It returns false if none does in time.
+func (l *Limiter) waitForResponse(ctx context.Context, responded <-chan struct{}, deadline time.Time) bool {
+	timeout := deadline.Sub(l.clock.Now())
+	if timeout <= 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case <-responded:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Limiter) refuse(team string, answered bool, retryAfter time.Duration) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b, ok := l.buckets[name]; ok {
+	if b, ok := l.buckets[team]; ok {
 		b.waiting = max(0, b.waiting-1)
 	}
-	return &catkinrun.Refusal{
+	refusal := &catkinrun.Refusal{
 		Status: 429, Reason: catkinrun.ReasonRate, Outcome: catkinrun.OutcomeNotRun, RetryAfter: retryAfter, Detail: "the team is above its rate",
 	}
+	if !answered {
+		refusal.Detail = "the owner of the team's rate did not respond"
+	}
+	return refusal
 }
 
-func (l *Limiter) recordArrival(name string) {
+// recordArrival counts a request for the team's demand and asks the owner for a token if
+// there is none. It returns the time of arrival.
+func (l *Limiter) recordArrival(team string) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b, ok := l.buckets[name]
+	now := l.clock.Now()
+	b, ok := l.buckets[team]
 	if !ok {
-		b = newBucket(l.startedAt, l.clock.Now()) // the local share has accrued since the daemon's start
-		l.buckets[name] = b
+		b = newBucket(l.startedAt, now)
+		l.buckets[team] = b
 	}
 	b.arrivals++
 	b.waiting++
-	b.lastArrivalAt = l.clock.Now()
+	b.lastArrivalAt = now
+	if b.granted < 1 {
+		if s := l.sessionLocked(broker.ShardOf(team)); s != nil {
+			s.wake()
+		}
+	}
+	return now
+}
+
+func (l *Limiter) sessionLocked(shard int) *session {
+	owner, ok := l.assignment.Owner(shard)
+	if !ok {
+		return nil
+	}
+	return l.sessions[owner]
+}
+
+// takeResult is the result of an attempt to take a token.
+type takeResult struct {
+	taken      bool
+	answeredAt time.Time       // time of the last response of the team's owner
+	retryAfter time.Duration   // time in which the team's rate accrues a token
+	responded  <-chan struct{} // closed when an owner next responds; nil if no token can come
 }
 
-// tryTake takes a token if there is one. Otherwise it returns the time in which the team's
-// rate accrues one, and a channel that is closed when the owner next responds.
-func (l *Limiter) tryTake(name string) (retryAfter time.Duration, granted <-chan struct{}, ok bool) {
+func (l *Limiter) tryTake(name string) takeResult {
 	team, declared := l.snapshots.Snapshot().Team(name)
-	count := float64(l.members.Count())
+	count := l.members.Count()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.buckets[name]
-	if !declared || b == nil {
-		return time.Second, l.granted, false
+	b, known := l.buckets[name]
+	if !declared || !known {
+		return takeResult{retryAfter: time.Second}
 	}
 	now := l.clock.Now()
-	localShare := 0.0
-	if count > 0 {
-		localShare = (1 - broker.OwnerShare) / count
-	}
-	b.refill(now, localShare*team.Rate, localShare*team.Burst)
-	if team.Rate > 0 && !b.take(now, min(1, maxOverdraft/max(1, count))) {
-		return time.Duration(float64(time.Second) / max(team.Rate, 1)), l.granted, false
+	ceded := l.ceded[broker.ShardOf(name)]
+	inTouch := now.Before(ceded)
+	if team.Rate > 0 && !b.takeGranted(now) && (inTouch || !l.takeLocalLocked(b, team, count, now, ceded)) {
+		return takeResult{answeredAt: ceded.Add(-broker.CedeTTL), retryAfter: time.Duration(float64(time.Second) / max(team.Rate, 1)), responded: l.responded}
 	}
 	b.waiting = max(0, b.waiting-1)
-	return 0, nil, true
+	return takeResult{taken: true}
+}
+
+func (l *Limiter) takeLocalLocked(b *bucket, team catkinrun.Team, count int, now, ceded time.Time) bool {
+	share := 0.0
+	if count > 0 {
+		share = broker.LocalShare(count)
+	}
+	b.refillLocal(now, ceded, share*team.Rate, share*team.Burst)
+	return b.takeLocal(min(1, maxOverdraft/float64(max(1, count))))
 }
 
-// Serve requests tokens from the owner until ctx ends. It implements suture.Service.
+// Serve exchanges token requests with all owners until ctx ends. It implements
+// suture.Service.
 func (l *Limiter) Serve(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
 	for {
-		l.RequestTokens(ctx)
-		if err := l.clock.Wait(ctx, minRequestInterval); err != nil {
-			return err
-		}
-		waitCtx, cancel := context.WithTimeout(ctx, requestInterval-minRequestInterval)
+		changed := l.updateSessions(func(s *session) {
+			sessionCtx, cancel := context.WithCancel(ctx)
+			s.end = cancel
+			running.Go(func() { s.run(sessionCtx) })
+		})
 		select {
-		case <-l.requestNow:
-		case <-waitCtx.Done():
-		}
-		cancel()
-		if ctx.Err() != nil {
+		case <-changed:
+		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// RequestTokens sends one token request, even if no team needs tokens, since the request
-// counts as a vote for the owner.
-func (l *Limiter) RequestTokens(ctx context.Context) {
-	owner := l.client.Owner()
-	if owner.Epoch == 0 {
-		return
+// updateSessions makes a session for each owner, starts the new ones and ends those with
+// former owners. It returns a channel that is closed when the owners change again.
+func (l *Limiter) updateSessions(start func(*session)) (changed <-chan struct{}) {
+	assignment, changed := l.client.Assignment()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.assignment = assignment
+	current := make(map[broker.Owner]*session, len(assignment.Owners))
+	for _, owner := range assignment.Owners {
+		s, ok := l.sessions[owner]
+		if !ok {
+			s = newSession(l, owner)
+			start(s)
+		}
+		current[owner] = s
+		s.wake()
 	}
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	sentAt := l.clock.Now()
-	response, err := l.client.RequestTokens(ctx, owner, l.buildRequest(owner, sentAt))
-	l.client.RecordResponse(owner.Epoch, response)
-	if err != nil {
-		l.log.WithError(err).WithField("owner", owner.Host).Debug("limiter: token request to the owner failed")
-		return
+	for owner, s := range l.sessions {
+		if current[owner] == nil {
+			s.end()
+		}
 	}
-	l.applyResponse(response, sentAt)
+	l.sessions = current
+	return changed
 }
 
-func (l *Limiter) buildRequest(owner broker.Owner, now time.Time) *broker.TokenRequest {
+// buildRequest builds a token request to an owner. It returns the assignment under which the
+// owner should grant the tokens, too.
+func (l *Limiter) buildRequest(owner broker.Owner, now time.Time) (*broker.TokenRequest, broker.Assignment) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	request := &broker.TokenRequest{Host: l.host, Epoch: owner.Epoch}
-	for name, b := range l.buckets {
-		if now.Sub(b.lastArrivalAt) > idleTimeout {
-			b.clearDemand()
+	request := &broker.TokenRequest{
+		Host: l.host, Incarnation: l.incarnation, Generation: l.assignment.Generation, Votes: now.Sub(l.startedAt) >= broker.VoteTTL,
+	}
+	owned := l.assignment.OwnedBy(owner)
+	for team, b := range l.buckets {
+		shard := broker.ShardOf(team)
+		if !owned.Has(shard) {
 			continue
 		}
-		request.Teams = append(request.Teams, b.teamRequest(name, owner.Epoch, now))
+		if b.idle(now) && now.Before(l.ceded[shard]) {
+			delete(l.buckets, team)
+		}
+		if t := b.teamRequest(team, l.assignment.Epoch(shard), now); t.Tokens > 0 || t.Returned > 0 {
+			request.Teams = append(request.Teams, t)
+		}
 	}
-	return request
+	return request, l.assignment
 }
 
-func (l *Limiter) applyResponse(response *broker.TokenResponse, sentAt time.Time) {
+// applyResponse adds the tokens that an owner has granted, and cedes the local shares of the
+// shards for which it grants tokens.
+func (l *Limiter) applyResponse(response *broker.TokenResponse, assignment broker.Assignment, sentAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	cededUntil := l.clock.Now().Add(broker.CedeTTL)
+	for shard := range broker.ShardCount {
+		if response.Ready.Has(shard) {
+			l.ceded[shard] = cededUntil
+		}
+	}
 	for _, grant := range response.Grants {
 		if b, ok := l.buckets[grant.Team]; ok {
-			b.addGrant(grant.Tokens, response.Epoch, sentAt.Add(grantTTL))
+			b.addGrant(grant.Tokens, assignment.Epoch(broker.ShardOf(grant.Team)), sentAt.Add(grantTTL))
+		}
+	}
+	close(l.responded)
+	l.responded = make(chan struct{})
+}
+
+// reclaimShares makes the local shares usable at once, because the owner's process has ended
+// and nobody else grants them.
+func (l *Limiter) reclaimShares(owner broker.Owner) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	owned := l.assignment.OwnedBy(owner)
+	for shard := range broker.ShardCount {
+		if owned.Has(shard) && now.Before(l.ceded[shard]) {
+			l.ceded[shard] = now
+		}
+	}
+}
+
+// hasWaiting reports whether a request waits for a token of an owner.
+func (l *Limiter) hasWaiting(owner broker.Owner) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	owned := l.assignment.OwnedBy(owner)
+	for team, b := range l.buckets {
+		if b.waiting > 0 && owned.Has(broker.ShardOf(team)) {
+			return true
 		}
 	}
-	close(l.granted)
-	l.granted = make(chan struct{})
+	return false
 }
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"syscall"
 	"testing"
 	"time"
 
@@ -63,30 +64,46 @@
 func (f *fleet) Members() []catkinrun.Member { return f.members }
 func (f *fleet) Count() int                  { return len(f.members) }
 
-func (d *daemon) Owner() broker.Owner { return d.broker.Owner() }
-func (d *daemon) RecordResponse(epoch catkinrun.Revision, response *broker.TokenResponse) {
-	d.broker.RecordResponse(epoch, response)
+func (d *daemon) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
+	return d.broker.Assignment()
+}
+
+func (d *daemon) RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error) {
+	d.broker.RecordResponse(owner, response, err)
+}
+
+func (d *daemon) IsVoter() bool { return d.broker.IsVoter() }
+
+// ownsTeam reports whether this daemon believes that it owns the team's shard.
+func (d *daemon) ownsTeam() bool {
+	assignment, _ := d.broker.Assignment()
+	owner, ok := assignment.Owner(broker.ShardOf(teamName))
+	return ok && owner.Host == d.name
 }
 
 func (d *daemon) RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error) {
 	for _, other := range d.fleet.daemons {
-		if other.name == owner.Host && !other.crashed && (other == d || !d.partitioned && !other.partitioned) {
-			return other.broker.GrantTokens(ctx, request)
+		if other.name != owner.Host || other != d && (d.partitioned || other.partitioned) {
+			continue
+		}
+		if other.crashed {
+			return nil, syscall.ECONNREFUSED
 		}
+		return other.broker.GrantTokens(ctx, request)
 	}
 	return nil, &catkinrun.NotFoundError{Kind: "host", Name: owner.Host}
 }
 
-// confirmStopped is a broker.ConfirmStopped like the one of package daemon: it detects that a
-// crashed process has ended.
-func (d *daemon) confirmStopped(ctx context.Context, earlier broker.Owner, epoch catkinrun.Revision) bool {
-	for _, other := range d.fleet.daemons {
-		if other.name == earlier.Host && other.crashed && !d.partitioned {
-			return true
-		}
+// confirmStopped is a broker.ConfirmStopped like the one of package daemon.
+func (d *daemon) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) broker.ShardSet {
+	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: d.name, Generation: assignment.Generation, Assignment: &assignment})
+	switch {
+	case broker.ProcessEnded(earlier, response, err):
+		return shards
+	case err != nil || response.Generation < assignment.Generation:
+		return 0
 	}
-	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: d.name, Epoch: epoch})
-	return err == nil && !response.Ready
+	return shards.Without(response.Ready)
 }
 
 func newFleet(t *rapid.T, count int) *fleet {
@@ -101,11 +118,11 @@
 		t.Fatal(err)
 	}
 	for i := range count {
-		name := fmt.Sprint("host-", i)
+		name := fmt.Sprintf("host-%03d", i)
 		f.members = append(f.members, catkinrun.Member{Host: name, Peer: name, Incarnation: name})
 		d := &daemon{fleet: f, name: name}
 		d.broker = broker.New(f.store, f, snapshots, f.clock, log, ownerTable, broker.Owner{Host: name, Peer: name, Incarnation: name}, d.confirmStopped)
-		d.limiter = limiter.New(snapshots, f, d, f.clock, log, name)
+		d.limiter = limiter.New(snapshots, f, d, f.clock, log, name, name)
 		f.daemons = append(f.daemons, d)
 	}
 	return f
@@ -133,7 +150,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // Take does not wait
-	if d.limiter.Take(ctx, teamName, 0) == nil {
+	if d.limiter.Take(ctx, teamName, limiter.Patience{}) == nil {
 		f.servedAt = append(f.servedAt, f.clock.Now())
 	}
 }
@@ -216,7 +233,7 @@
 				f.tick()
 			}
 			for _, d := range f.daemons {
-				if owner := d.Owner(); owner.Host == d.name {
+				if d.ownsTeam() {
 					d.crashed = true
 				}
 			}
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -49,7 +49,7 @@
 		{Key: locator.Key("b"), Value: []byte("\xff{"), Revision: 2},
 		{Key: locator.Key("c"), Value: []byte(`{"host":7}`), Revision: 3},
 		{Key: locator.Key("d"), Value: []byte(`{"host":"d","peer":"d","server":{"service":"s"}}`), Revision: 4},
-		{Key: "owner/rates", Value: []byte(`{"host":"z","peer":"z"}`), Revision: 5},
+		{Key: "owners/rates", Value: []byte(`{"host":"z","peer":"z"}`), Revision: 5},
 	}}, true)
 	is.Equal(l.Count(), 1)
 	is.Equal(len(l.Serving("s")), 1)
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -1,5 +1,5 @@
-// Package syncer passes configuration and members from daemon to daemon, for daemons
-// that cannot reach the store. Each request from an entry daemon to a serving daemon and
+// Package syncer passes configuration, members and the owners of the rates from daemon to
+// daemon, for daemons that cannot reach the store. Each request from an entry daemon to a serving daemon and
 // its response carry the sender's configuration version, and the daemon with the older
 // configuration requests the newer one from the other.
 package syncer
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/broker"
 	"github.com/catkinrun/catkinrun/configurer"
 	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/messenger"
@@ -30,10 +31,12 @@
 	pollInterval = 500 * time.Millisecond
 )
 
-// Request has the configuration version and the store revision of the requesting daemon.
+// Request has the configuration version, the store revision and the generation of the owners
+// of the rates that the requesting daemon knows.
 type Request struct {
-	Version  catkinrun.Version  `cbor:"version"`
-	Revision catkinrun.Revision `cbor:"revision"`
+	Version    catkinrun.Version  `cbor:"version"`
+	Revision   catkinrun.Revision `cbor:"revision"`
+	Generation uint64             `cbor:"generation"`
 }
 
 // Response has what the requesting daemon lacks.
@@ -41,12 +44,28 @@
 	Configuration *catkinrun.SnapshotData `cbor:"configuration,omitempty"`
 	Rows          []catkinrun.Row         `cbor:"rows,omitempty"`
 	Revision      catkinrun.Revision      `cbor:"revision"`
+	Assignment    *broker.Assignment      `cbor:"assignment,omitempty"`
+}
+
+// Validate checks a decoded response; it fails with *catkinrun.InvalidError.
+func (r *Response) Validate() error {
+	if r.Assignment == nil {
+		return nil
+	}
+	return r.Assignment.Validate()
+}
+
+// Owners has the assignment of the owners of the rates.
+type Owners interface {
+	Assignment() (assignment broker.Assignment, changed <-chan struct{})
+	ApplyAssignment(assignment broker.Assignment)
 }
 
 // Syncer exchanges configuration and members with other daemons.
 type Syncer struct {
 	configurer   *configurer.Configurer
 	locator      *locator.Locator
+	owners       Owners
 	peers        *messenger.Client
 	clock        catkinrun.Clock
 	log          logrus.FieldLogger
@@ -61,10 +80,10 @@
 
 // New returns a syncer for the daemon whose peer address is self. storeFailing reports
 // whether the store is unavailable to this daemon.
-func New(c *configurer.Configurer, l *locator.Locator, peers *messenger.Client, clock catkinrun.Clock,
+func New(c *configurer.Configurer, l *locator.Locator, owners Owners, peers *messenger.Client, clock catkinrun.Clock,
 	log logrus.FieldLogger, self string, storeFailing func() bool,
 ) *Syncer {
-	return &Syncer{configurer: c, locator: l, peers: peers, clock: clock, log: log, self: self, storeFailing: storeFailing, ahead: make(chan string, 1)}
+	return &Syncer{configurer: c, locator: l, owners: owners, peers: peers, clock: clock, log: log, self: self, storeFailing: storeFailing, ahead: make(chan string, 1)}
 }
 
 // ObserveVersion requests an exchange with peer if version is newer than the configuration
@@ -89,6 +108,9 @@
 	if response.Revision > request.Revision {
 		response.Rows = s.locator.Page().Rows
 	}
+	if assignment, _ := s.owners.Assignment(); assignment.Generation > request.Generation {
+		response.Assignment = &assignment
+	}
 	return response, nil
 }
 
@@ -150,7 +172,8 @@
 func (s *Syncer) pull(ctx context.Context, peer string) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	request := &Request{Version: s.configurer.Snapshot().Version(), Revision: s.locator.Revision()}
+	known, _ := s.owners.Assignment()
+	request := &Request{Version: s.configurer.Snapshot().Version(), Revision: s.locator.Revision(), Generation: known.Generation}
 	response, err := messenger.Call[Request, Response](ctx, s.peers, peer, Procedure, request)
 	if err != nil {
 		return err
@@ -158,6 +181,9 @@
 	if len(response.Rows) > 0 {
 		s.locator.Apply(catkinrun.Page{Rows: response.Rows, Revision: response.Revision}, true)
 	}
+	if response.Assignment != nil {
+		s.owners.ApplyAssignment(*response.Assignment)
+	}
 	if response.Configuration == nil {
 		return nil
 	}
