Rates: a restarted voter reads the store first; leases outlive no suspension

Cause: spec/rates.pml with three owners found that a restarted daemon which learns an earlier assignment from another daemon may vote for the earlier owner again, while a later owner skips the wait. Ruled out: a quarantine of the vote TTL after a restart; the model refutes it. Change: a daemon votes only once it has read the store since its start. The local shares are unused for the cede time after a start. Votes, ceded shares and tokens are measured by the clock that counts suspension.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -88,6 +88,7 @@
 	assignment Assignment
 	revision   catkinrun.Revision // of the assignment's row
 	changed    chan struct{}      // closed and replaced when the assignment changes
+	listed     bool               // the store has been read since the start of this daemon
 	superseded bool               // a later generation exists, but has not arrived yet
 	resigned   bool
 	health     map[string]*ownerHealth // by host
@@ -111,13 +112,17 @@
 	}
 }
 
-// Apply applies changed rows of the table; all but the assignment's row are ignored.
-func (b *Broker) Apply(page catkinrun.Page) {
+// Apply applies rows that the store has returned, which are all rows of the table if complete
+// is true; all but the assignment's row are ignored.
+func (b *Broker) Apply(page catkinrun.Page, complete bool) {
 	for _, row := range page.Rows {
 		if row.Key == RowKey && !row.Deleted {
 			b.applyRow(row)
 		}
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listed = b.listed || complete
 }
 
 func (b *Broker) applyRow(row catkinrun.Row) {
@@ -263,12 +268,15 @@
 	}
 }
 
-// IsVoter reports whether the votes of this daemon's host count for some shard.
-func (b *Broker) IsVoter() bool {
+// Standing returns whether the requests of this daemon are votes, and whether its host is
+// among the voters of some shard. A restarted daemon votes only once it has read the store:
+// another daemon could have sent it an earlier assignment than it voted under before.
+func (b *Broker) Standing() (votes, isVoter bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateLocked(b.elapsed())
-	return slices.ContainsFunc(b.voters[:], func(group []string) bool { return slices.Contains(group, b.self.Host) })
+	isVoter = slices.ContainsFunc(b.voters[:], func(group []string) bool { return slices.Contains(group, b.self.Host) })
+	return b.listed, isVoter
 }
 
 // availableLocked returns the fraction of the rates that this owner may grant until the next
--- a/broker/message.go
+++ b/broker/message.go
@@ -11,13 +11,12 @@
 
 // TokenRequest is a daemon's request to an owner for tokens of the teams' rates.
 type TokenRequest struct {
-	Host        string        `cbor:"host"`
-	Incarnation string        `cbor:"incarnation"` // of the requesting daemon
-	Generation  uint64        `cbor:"generation"`  // of the assignment known to the daemon
-	Echo        time.Duration `cbor:"echo"`        // stamp of the last response of this start of the owner, 0 without one
-	Votes       bool          `cbor:"votes"`       // false shortly after the daemon's start
-	Teams       []TeamRequest `cbor:"teams"`
-	Assignment  *Assignment   `cbor:"assignment,omitempty"` // if the owner is known to have an older one
+	Host       string        `cbor:"host"`
+	Generation uint64        `cbor:"generation"` // of the assignment known to the daemon
+	Echo       time.Duration `cbor:"echo"`       // stamp of the last response of this start of the owner, 0 without one
+	Votes      bool          `cbor:"votes"`      // false until the daemon has read the assignment from the store
+	Teams      []TeamRequest `cbor:"teams"`
+	Assignment *Assignment   `cbor:"assignment,omitempty"` // if the owner is known to have an older one
 }
 
 // TeamRequest is the entry of a token request for one team.
@@ -45,8 +44,8 @@
 
 // Validate checks a decoded token request; it fails with *catkinrun.InvalidError.
 func (r *TokenRequest) Validate() error {
-	if r.Host == "" || r.Incarnation == "" {
-		return &catkinrun.InvalidError{Where: "token request", Field: "host", Reason: "host and incarnation are required"}
+	if r.Host == "" {
+		return &catkinrun.InvalidError{Where: "token request", Field: "host", Reason: "missing"}
 	}
 	for _, t := range r.Teams {
 		if t.Tokens < 0 || t.Returned < 0 {
--- a/broker/votes.go
+++ b/broker/votes.go
@@ -28,11 +28,10 @@
 // not after its arrival: the host has received that stamp before it sent the request, so that
 // a request that the network delayed supports the owner no longer than the host intended.
 type supporter struct {
-	incarnation string
-	generation  uint64
-	echo        time.Duration
-	votes       bool
-	adoptions   []adoption
+	generation uint64
+	echo       time.Duration
+	votes      bool
+	adoptions  []adoption
 }
 
 // adoption is the time at which a host first requested tokens under a generation.
@@ -44,9 +43,6 @@
 // record adds a request that arrived at now. A request from before one that has already
 // arrived is ignored.
 func (s *supporter) record(request *TokenRequest, now time.Duration) {
-	if request.Incarnation != s.incarnation {
-		*s = supporter{incarnation: request.Incarnation}
-	}
 	if request.Generation < s.generation || request.Echo < s.echo || request.Echo > now {
 		return
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,6 +80,7 @@
 	settings    loader.Settings
 	incarnation string // of this start
 	clock       catkinrun.Clock
+	leaseClock  catkinrun.Clock
 	journal     *journaler.Journal
 	log         *logrus.Logger
 	metrics     *metrics.Set
@@ -102,9 +103,11 @@
 	running       atomic.Int64 // requests from callers and from other daemons
 }
 
-// New builds a daemon and opens its listeners. It fails with *ListenError.
-func New(settings loader.Settings, clock catkinrun.Clock, journal *journaler.Journal) (*Daemon, error) {
-	d := &Daemon{settings: settings, incarnation: newIncarnation(), clock: clock, journal: journal, log: journal.Logger(), metrics: metrics.NewSet()}
+// New builds a daemon and opens its listeners. leaseClock measures the validity of tokens,
+// votes and ceded shares, which must not outlive a suspension of the host. New fails with
+// *ListenError.
+func New(settings loader.Settings, clock, leaseClock catkinrun.Clock, journal *journaler.Journal) (*Daemon, error) {
+	d := &Daemon{settings: settings, incarnation: newIncarnation(), clock: clock, leaseClock: leaseClock, journal: journal, log: journal.Logger(), metrics: metrics.NewSet()}
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Memory) * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
 	d.build()
@@ -124,9 +127,9 @@
 	d.configurer = configurer.New(d.clock, d.log)
 	d.locator = locator.New(d.log)
 	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self, time.Duration(drainServeFraction*float64(s.Times.Drain)))
-	d.broker = broker.New(store, d.locator, d.configurer, d.clock, d.log, locator.Table,
+	d.broker = broker.New(store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.ownerStopped)
-	d.limiter = limiter.New(d.configurer, d.locator, d, d.clock, d.log, s.Host, d.incarnation)
+	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
 	d.configuration = follower.New(store, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
 	d.members = follower.New(store, d.clock, d.log, locator.Table, membersInterval, d.applyMembers)
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
@@ -167,7 +170,7 @@
 
 func (d *Daemon) applyMembers(page catkinrun.Page, complete bool) {
 	d.locator.Apply(page, complete)
-	d.broker.Apply(page)
+	d.broker.Apply(page, complete)
 	if complete {
 		d.registrar.Restore(d.locator.Row(d.settings.Host))
 	}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -30,8 +30,8 @@
 	d.broker.RecordResponse(owner, response, err)
 }
 
-// IsVoter implements limiter.Client.
-func (d *Daemon) IsVoter() bool { return d.broker.IsVoter() }
+// Standing implements limiter.Client.
+func (d *Daemon) Standing() (votes, isVoter bool) { return d.broker.Standing() }
 
 // RequestTokens implements limiter.Client. If this daemon is the owner, it calls its own
 // broker directly.
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerStopTimeout)
 	defer cancel()
 	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{
-		Host: d.settings.Host, Incarnation: d.incarnation, Generation: assignment.Generation, Assignment: &assignment,
+		Host: d.settings.Host, Generation: assignment.Generation, Assignment: &assignment,
 	})
 	switch {
 	case broker.ProcessEnded(earlier, response, err):
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -52,7 +52,7 @@
 }
 func (ownerless) ApplyAssignment(broker.Assignment)                         {}
 func (ownerless) RecordResponse(broker.Owner, *broker.TokenResponse, error) {}
-func (ownerless) IsVoter() bool { return false }
+func (ownerless) Standing() (votes, isVoter bool)                           { return false, false }
 
 func (ownerless) RequestTokens(context.Context, broker.Owner, *broker.TokenRequest) (*broker.TokenResponse, error) {
 	return nil, &catkinrun.NotFoundError{Kind: "owner"}
@@ -98,7 +98,7 @@
 	return filterer.NewGateway(&filterer.Dependencies{
 		Self: self, Service: service, Server: address, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
 		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.5 }),
-		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, "h", "n"),
+		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, "h"),
 		Router:  router.New(hosts, system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
 		Registrar: reg, Admitter: adm, Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
 		Peers: exchanger.New(time.Second, time.Second, 4), Backend: exchanger.New(time.Second, time.Second, 4),
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -25,9 +25,10 @@
 // A liveFleet runs the real goroutines of many daemons in the fake time of a synctest bubble.
 // Messages take time, so that token requests overlap as they do between hosts.
 type liveFleet struct {
-	hosts []*liveHost
-	teams []catkinrun.Team
-	store *liveStore
+	hosts   []*liveHost
+	members []catkinrun.Member
+	teams   []catkinrun.Team
+	store   *liveStore
 
 	served, refused atomic.Int64
 	mu              sync.Mutex
@@ -74,21 +75,15 @@
 	time.AfterFunc(storeDelay, func() {
 		for _, h := range s.fleet.hosts {
 			if !h.cut.Load() {
-				h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{row}})
+				h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{row}}, false)
 			}
 		}
 	})
 	return catkinrun.Page{Revision: row.Revision}, nil
 }
 
-func (f *liveFleet) Members() []catkinrun.Member {
-	members := make([]catkinrun.Member, 0, len(f.hosts))
-	for _, h := range f.hosts {
-		members = append(members, catkinrun.Member{Host: h.name, Peer: h.name, Incarnation: h.name})
-	}
-	return members
-}
-func (f *liveFleet) Count() int { return len(f.hosts) }
+func (f *liveFleet) Members() []catkinrun.Member { return f.members }
+func (f *liveFleet) Count() int                  { return len(f.members) }
 
 func (h *liveHost) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
 	return h.broker.Assignment()
@@ -98,7 +93,7 @@
 	h.broker.RecordResponse(owner, response, err)
 }
 
-func (h *liveHost) IsVoter() bool { return h.broker.IsVoter() }
+func (h *liveHost) Standing() (votes, isVoter bool) { return h.broker.Standing() }
 
 func (h *liveHost) RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error) {
 	to := h.fleet.host(owner.Host)
@@ -119,7 +114,7 @@
 }
 
 func (h *liveHost) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) broker.ShardSet {
-	response, err := h.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: h.name, Incarnation: h.name, Generation: assignment.Generation, Assignment: &assignment})
+	response, err := h.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: h.name, Generation: assignment.Generation, Assignment: &assignment})
 	switch {
 	case broker.ProcessEnded(earlier, response, err):
 		return shards
@@ -169,10 +164,12 @@
 	for i := range hosts {
 		h := &liveHost{fleet: f, name: fmt.Sprintf("host-%03d", i)}
 		h.broker = broker.New(f.store, f, snapshots, clock.System{}, log, ownerTable, broker.Owner{Host: h.name, Peer: h.name, Incarnation: h.name}, h.confirmStopped)
-		h.limiter = limiter.New(snapshots, f, h, clock.System{}, log, h.name, h.name)
+		h.limiter = limiter.New(snapshots, f, h, clock.System{}, log, h.name)
 		f.hosts = append(f.hosts, h)
+		f.members = append(f.members, catkinrun.Member{Host: h.name, Peer: h.name, Incarnation: h.name})
 	}
 	for _, h := range f.hosts {
+		h.broker.Apply(catkinrun.Page{}, true)
 		ctx, cancel := context.WithCancel(t.Context())
 		h.end = cancel
 		go func() { _ = h.broker.Serve(ctx) }()
@@ -344,7 +341,7 @@
 		time.Sleep(6 * time.Second)
 		for _, h := range f.hosts {
 			h.cut.Store(false)
-			h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}})
+			h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}}, true)
 		}
 		time.Sleep(4 * time.Second)
 		f.owner(teamNames(1)).crash()
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -42,7 +42,7 @@
 	Assignment() (assignment broker.Assignment, changed <-chan struct{})
 	RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error)
 	RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error)
-	IsVoter() bool
+	Standing() (votes, isVoter bool)
 }
 
 // Members counts the hosts among which the local shares are divided.
@@ -58,15 +58,12 @@
 
 // Limiter lets requests through while their team has tokens at this daemon.
 type Limiter struct {
-	snapshots   broker.SnapshotSource
-	members     Members
-	client      Client
-	clock       catkinrun.Clock
-	log         logrus.FieldLogger
-	host        string
-	incarnation string
-
-	startedAt time.Time
+	snapshots broker.SnapshotSource
+	members   Members
+	client    Client
+	clock     catkinrun.Clock
+	log       logrus.FieldLogger
+	host      string
 
 	mu         sync.Mutex
 	assignment broker.Assignment
@@ -76,12 +73,17 @@
 	responded  chan struct{} // closed and replaced when a response has arrived
 }
 
-// New returns a limiter for one start of the daemon of a host.
-func New(snapshots broker.SnapshotSource, members Members, client Client, clock catkinrun.Clock, log logrus.FieldLogger, host, incarnation string) *Limiter {
-	return &Limiter{
-		snapshots: snapshots, members: members, client: client, clock: clock, log: log, host: host, incarnation: incarnation,
-		startedAt: clock.Now(), sessions: make(map[broker.Owner]*session), buckets: make(map[string]*bucket), responded: make(chan struct{}),
+// New returns a limiter for the daemon of a host. The local shares are unused at first, since
+// an owner may still be granting those that an earlier start of the daemon ceded.
+func New(snapshots broker.SnapshotSource, members Members, client Client, clock catkinrun.Clock, log logrus.FieldLogger, host string) *Limiter {
+	l := &Limiter{
+		snapshots: snapshots, members: members, client: client, clock: clock, log: log, host: host,
+		sessions: make(map[broker.Owner]*session), buckets: make(map[string]*bucket), responded: make(chan struct{}),
+	}
+	for shard := range l.ceded {
+		l.ceded[shard] = clock.Now().Add(broker.CedeTTL)
 	}
+	return l
 }
 
 // Take spends one token of a team for a request. It waits for the token no longer than
@@ -145,7 +147,7 @@
 	now := l.clock.Now()
 	b, ok := l.buckets[team]
 	if !ok {
-		b = newBucket(l.startedAt, now)
+		b = newBucket(l.ceded[broker.ShardOf(team)], now)
 		l.buckets[team] = b
 	}
 	b.arrivals++
@@ -253,9 +255,7 @@
 func (l *Limiter) buildRequest(owner broker.Owner, now time.Time) (*broker.TokenRequest, broker.Assignment) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	request := &broker.TokenRequest{
-		Host: l.host, Incarnation: l.incarnation, Generation: l.assignment.Generation, Votes: now.Sub(l.startedAt) >= broker.VoteTTL,
-	}
+	request := &broker.TokenRequest{Host: l.host, Generation: l.assignment.Generation}
 	owned := l.assignment.OwnedBy(owner)
 	for team, b := range l.buckets {
 		shard := broker.ShardOf(team)
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -72,7 +72,7 @@
 	d.broker.RecordResponse(owner, response, err)
 }
 
-func (d *daemon) IsVoter() bool { return d.broker.IsVoter() }
+func (d *daemon) Standing() (votes, isVoter bool) { return d.broker.Standing() }
 
 // ownsTeam reports whether this daemon believes that it owns the team's shard.
 func (d *daemon) ownsTeam() bool {
@@ -122,7 +122,7 @@
 		f.members = append(f.members, catkinrun.Member{Host: name, Peer: name, Incarnation: name})
 		d := &daemon{fleet: f, name: name}
 		d.broker = broker.New(f.store, f, snapshots, f.clock, log, ownerTable, broker.Owner{Host: name, Peer: name, Incarnation: name}, d.confirmStopped)
-		d.limiter = limiter.New(snapshots, f, d, f.clock, log, name, name)
+		d.limiter = limiter.New(snapshots, f, d, f.clock, log, name)
 		f.daemons = append(f.daemons, d)
 	}
 	return f
@@ -137,7 +137,7 @@
 			continue
 		}
 		if !d.partitioned {
-			d.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}})
+			d.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}}, true)
 			d.broker.Poll(context.Background())
 		}
 		d.limiter.RequestTokens(context.Background())
--- a/limiter/session.go
+++ b/limiter/session.go
@@ -33,6 +33,7 @@
 	requestNow chan struct{}
 	end        context.CancelFunc
 
+	isVoter    bool          // as of the last request
 	echo       time.Duration // stamp of the owner's last response
 	sendRepeat bool          // the owner lacks an echo of its first response, or the assignment
 	outdated   bool          // the owner has an older assignment
@@ -83,8 +84,8 @@
 		return waitingInterval
 	}
 	interval := max(requestInterval, time.Duration(s.limiter.members.Count())*intervalPerHost)
-	if interval > maxVoterInterval && s.limiter.client.IsVoter() {
-		return maxVoterInterval
+	if s.isVoter {
+		interval = min(interval, maxVoterInterval)
 	}
 	return interval
 }
@@ -96,6 +97,7 @@
 	defer cancel()
 	sentAt := l.clock.Now()
 	request, assignment := l.buildRequest(s.owner, sentAt)
+	request.Votes, s.isVoter = l.client.Standing()
 	request.Echo = s.echo
 	if s.outdated {
 		request.Assignment = &assignment
--- a/spec/rates.pml
+++ b/spec/rates.pml
@@ -7,19 +7,18 @@
  * owner counts only voters from which it first heard more than the vote TTL ago, unless
  * all owners before it have certainly stopped: its direct predecessor has confirmed so, and
  * had granted tokens, which proves that those before it had stopped. An epoch reaches each
- * voter separately, at any time or never. One voter may restart, forget the epoch and learn
- * an earlier one again; it casts no vote for the vote TTL. The loss of a message needs no
- * step of its own, since a message may also stay in flight until it is worthless.
+ * voter separately, at any time or never. A voter never returns to an earlier epoch: one that
+ * restarts reads the store before it votes. The loss of a message needs no step of its own,
+ * since a message may also stay in flight until it is worthless.
  *
  * Rule: no two owners grant tokens at the same time.
  * Variants that must be refuted:
- *   NO_WAIT        a later owner counts voters as soon as it hears from them
- *   NO_MAJORITY    one valid vote suffices
- *   GO_BACK        a voter may forget the newest epoch without a restart
- *   NO_RESIGN      an owner grants tokens even after it has confirmed that it stopped
- *   NO_CHAIN       a confirmation suffices, even of an owner that never granted tokens
- *   NO_ECHO        a vote is valid for the vote TTL after its arrival
- *   NO_QUARANTINE  a restarted voter votes at once
+ *   NO_WAIT      a later owner counts voters as soon as it hears from them
+ *   NO_MAJORITY  one valid vote suffices
+ *   GO_BACK      a voter that restarts may learn an earlier epoch from another daemon
+ *   NO_RESIGN    an owner grants tokens even after it has confirmed that it stopped
+ *   NO_CHAIN     a confirmation suffices, even of an owner that never granted tokens
+ *   NO_ECHO      a vote is valid for the vote TTL after its arrival
  */
 #define VOTERS 3
 #define OWNERS 3
@@ -31,17 +30,14 @@
 #endif
 #define AT(owner, voter) ((owner) * VOTERS + (voter))
 
-byte newest = 0;             /* newest epoch that exists, counted from 0 */
-byte known[VOTERS];          /* epoch that the voter knows */
-byte in_flight[VOTERS];      /* ticks until the voter's request in flight is worthless, 0 without one */
-byte sent_to[VOTERS];        /* owner to which it was sent */
-bool before_restart[VOTERS]; /* it was sent before the voter's restart */
-byte votes[9];               /* by owner and voter: ticks until the vote expires, 0 without one */
-byte heard[9];               /* by owner and voter: ticks since the first request, up to VOTE_TTL + 1; 0 without one */
-byte quarantine[VOTERS];     /* ticks until a restarted voter may vote */
-bool restarted;
-bool stopped[OWNERS];        /* the owner has confirmed that it stopped */
-bool granted[OWNERS];        /* the owner has granted tokens */
+byte newest;                  /* newest epoch that exists, counted from 0 */
+byte known[VOTERS];           /* epoch that the voter knows */
+byte in_flight[VOTERS];       /* ticks until the voter's delayed request is worthless, 0 without one */
+byte sent_to[VOTERS];         /* owner to which it was sent */
+byte votes[9];                /* by owner and voter: ticks until the vote expires, 0 without one */
+byte heard[9];                /* by owner and voter: ticks since the first request, up to VOTE_TTL + 1; 0 without one */
+bool stopped[OWNERS];         /* the owner has confirmed that it stopped */
+bool granted[OWNERS];         /* the owner has granted tokens */
 bool earlier_stopped[OWNERS]; /* the owner knows that all owners before it have stopped */
 
 #ifdef NO_WAIT
@@ -58,8 +54,63 @@
 #define GRANTS(owner) ((owner) <= newest && MAY_GRANT(owner) && \
   (COUNTS(owner, 0) + COUNTS(owner, 1) + COUNTS(owner, 2)) >= MIN_VOTES)
 
+inline record_vote(owner, v, ticks) {
+  i = AT(owner, v);
+  if
+  :: votes[i] < ticks -> votes[i] = ticks
+  :: else
+  fi;
+  if
+  :: owner > 0 && heard[i] == 0 -> heard[i] = 1
+  :: else
+  fi;
+  i = 0
+}
+
+/* The voter sends a request, which arrives at once or is delayed. */
+inline send_request(v) {
+  if
+  :: record_vote(known[v], v, VOTE_TTL)
+  :: in_flight[v] == 0 -> in_flight[v] = VOTE_TTL; sent_to[v] = known[v]
+  fi
+}
+
+inline receive_delayed_request(v) {
+  in_flight[v] > 0 ->
+#ifdef NO_ECHO
+  record_vote(sent_to[v], v, VOTE_TTL);
+#else
+  record_vote(sent_to[v], v, in_flight[v]);
+#endif
+  discard_request(v)
+}
+
+inline discard_request(v) {
+  in_flight[v] = 0;
+  sent_to[v] = 0
+}
+
+inline pass_tick(v) {
+  i = 0;
+  do
+  :: i < OWNERS ->
+     if :: votes[AT(i, v)] > 0 -> votes[AT(i, v)]-- :: else fi;
+     if :: heard[AT(i, v)] > 0 && heard[AT(i, v)] <= VOTE_TTL -> heard[AT(i, v)]++ :: else fi;
+     i++
+  :: else -> break
+  od;
+#ifndef NO_ECHO
+  if
+  :: in_flight[v] > 1 -> in_flight[v]--
+  :: in_flight[v] == 1 -> discard_request(v)
+  :: else
+  fi;
+#endif
+  i = 0
+}
+
 active proctype fleet() {
-  byte v, o, i;
+  byte i;
   do
   :: atomic { newest < OWNERS - 1 -> newest++ }
   :: atomic { /* the newest owner asks its predecessor to stop */
@@ -71,89 +122,25 @@
        earlier_stopped[newest] = granted[newest - 1]
 #endif
      }
-  :: atomic { /* an epoch reaches a voter */
-       select(v : 0 .. VOTERS - 1);
-       if
-       :: known[v] < newest -> known[v]++
+  :: atomic { known[0] < newest -> known[0]++ } /* an epoch reaches a voter */
+  :: atomic { known[1] < newest -> known[1]++ }
+  :: atomic { known[2] < newest -> known[2]++ }
 #ifdef GO_BACK
-       :: known[v] > 0 -> known[v]--
-#endif
-       :: else
-       fi
-     }
-  :: atomic { /* a voter restarts */
-       !restarted ->
-       restarted = true;
-       select(v : 0 .. VOTERS - 1);
-       select(o : 0 .. OWNERS - 1);
-       if
-       :: o <= newest -> known[v] = o
-       :: else
-       fi;
-       before_restart[v] = true;
-#ifndef NO_QUARANTINE
-       quarantine[v] = VOTE_TTL + 1
+  :: atomic { known[1] > 0 -> known[1]-- }
 #endif
-     }
-  :: atomic { /* a voter requests tokens */
-       select(v : 0 .. VOTERS - 1);
-       if
-       :: in_flight[v] == 0 && quarantine[v] == 0 ->
-          in_flight[v] = VOTE_TTL;
-          sent_to[v] = known[v];
-          before_restart[v] = false
-       :: else
-       fi
-     }
-  :: atomic { /* a request arrives */
-       select(v : 0 .. VOTERS - 1);
-       if
-       :: in_flight[v] > 0 ->
-          i = AT(sent_to[v], v);
-#ifdef NO_ECHO
-          votes[i] = VOTE_TTL;
-#else
-          votes[i] = in_flight[v];
-#endif
-          if
-          :: heard[i] == 0 -> heard[i] = 1
-          :: else
-          fi;
-          in_flight[v] = 0
-       :: else
-       fi
-     }
-  :: atomic { /* the first request of a restarted voter that reaches an owner starts the wait anew */
-       restarted ->
-       select(v : 0 .. VOTERS - 1);
-       select(o : 0 .. OWNERS - 1);
-       if
-       :: before_restart[v] -> heard[AT(o, v)] = 0
-       :: else
-       fi
-     }
+  :: atomic { send_request(0) }
+  :: atomic { send_request(1) }
+  :: atomic { send_request(2) }
+  :: atomic { receive_delayed_request(0) }
+  :: atomic { receive_delayed_request(1) }
+  :: atomic { receive_delayed_request(2) }
   :: atomic { /* one tick */
-       i = 0;
-       do
-       :: i < OWNERS * VOTERS ->
-          if :: votes[i] > 0 -> votes[i]-- :: else fi;
-          if :: heard[i] > 0 && heard[i] <= VOTE_TTL -> heard[i]++ :: else fi;
-          i++
-       :: else -> break
-       od;
-       v = 0;
-       do
-       :: v < VOTERS ->
-          if :: quarantine[v] > 0 -> quarantine[v]-- :: else fi;
-#ifndef NO_ECHO
-          if :: in_flight[v] > 0 -> in_flight[v]-- :: else fi;
-#endif
-          v++
-       :: else -> break
-       od;
-       v = 0; i = 0
+       pass_tick(0);
+       pass_tick(1);
+       pass_tick(2)
      }
   :: atomic {
+       true;
        if :: GRANTS(0) -> granted[0] = true :: else fi;
        if :: GRANTS(1) -> granted[1] = true :: else fi;
        if :: GRANTS(2) -> granted[2] = true :: else fi;
--- a/spec/shares.pml
+++ b/spec/shares.pml
@@ -3,7 +3,7 @@
  *
  * Each response of the owner carries a stamp. From its arrival the host leaves its local share
  * to the owner for some ticks, the cede time. The next token request echoes the stamp, and the owner
- * grants the share until CEDE_TTL ticks after the stamp. Messages may arrive late or never. A
+ * grants the share until the cede time ticks after the stamp. Messages may arrive late or never. A
  * host that restarts has forgotten all of this, and does not use its share for the cede time.
  *
  * Rule: the owner does not grant the share while the host may use it.
