Configuration: kinds of requests and unknown fields survive changes by catkinrun apply

Cause: the adapter kept only whether a route is idempotent, so that a change of any other field rewrote uploads as non_idempotent; entries and fields that it does not know, protocols of services and texts of durations were lost too. Change: routes have upload and, for a stored kind that is not known, unknown-kind, which is treated as not idempotent, logged and kept. A configuration is encoded over the stored one: what is unknown and what does not change stays as stored.

--- a/commander/client.go
+++ b/commander/client.go
@@ -42,10 +42,10 @@
 	return platform.NewStore(s.address, http.DefaultClient, callTimeout), nil
 }
 
-// configuration is the configuration that was read, with the revision of its row.
+// configuration is the configuration that was read, with its row as stored.
 type configuration struct {
-	data     catkinrun.SnapshotData
-	revision catkinrun.Revision
+	data catkinrun.SnapshotData
+	row  catkinrun.Row
 }
 
 func (s *storeClient) readConfiguration(ctx context.Context) (configuration, error) {
@@ -60,7 +60,7 @@
 	for _, row := range page.Rows {
 		if row.Key == platform.ConfigurationKey {
 			data, err := platform.DecodeConfiguration(row.Value)
-			return configuration{data: data, revision: row.Revision}, err
+			return configuration{data: data, row: row}, err
 		}
 	}
 	return configuration{}, nil
@@ -79,12 +79,12 @@
 	if err := data.Validate(); err != nil {
 		return 0, err
 	}
-	raw, err := platform.EncodeConfiguration(data)
+	raw, err := platform.EncodeConfiguration(data, current.row.Value)
 	if err != nil {
 		return 0, err
 	}
 	_, err = store.Commit(ctx, catkinrun.Transaction{
-		Preconditions: []catkinrun.Precondition{{Table: platform.ConfigurationTable, Key: platform.ConfigurationKey, Revision: current.revision}},
+		Preconditions: []catkinrun.Precondition{{Table: platform.ConfigurationTable, Key: platform.ConfigurationKey, Revision: current.row.Revision}},
 		Writes:        []catkinrun.Write{{Table: platform.ConfigurationTable, Key: platform.ConfigurationKey, Value: raw}},
 	})
 	var preconditionErr *catkinrun.PreconditionError
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -165,6 +165,17 @@
 		if err != nil {
 			d.log.WithError(err).WithField("revision", row.Revision).Error("daemon: configuration from the store is invalid")
 		}
+		d.logUnknownKinds(data)
+	}
+}
+
+// logUnknownKinds logs the routes whose requests are of a kind that this version does not know.
+func (d *Daemon) logUnknownKinds(data catkinrun.SnapshotData) {
+	for _, r := range data.Resources {
+		if r.Route != nil && r.Route.UnknownKind != "" {
+			d.log.WithFields(logrus.Fields{"route": r.Name, "kind": r.Route.UnknownKind, "version": data.Version}).
+				Warn("daemon: kind of the route's requests is unknown, treated as not idempotent")
+		}
 	}
 }
 
--- a/declarer/declarer.go
+++ b/declarer/declarer.go
@@ -118,6 +118,11 @@
 	if err := r.Validate(); err != nil {
 		return err
 	}
+	if r.Route != nil && r.Route.UnknownKind != "" {
+		return &catkinrun.InvalidError{
+			Where: "route " + r.Name, Field: "unknown-kind", Reason: "cannot be declared; leave it out to keep the stored kind",
+		}
+	}
 	id := string(r.Kind) + "/" + r.Name
 	if other, ok := declared[id]; ok {
 		return &DuplicateError{Kind: r.Kind, Name: r.Name, Other: other}
@@ -139,8 +144,12 @@
 	var changes []Change
 	for _, resource := range declared {
 		existing := find(current, resource)
-		if existing != nil && existing.Team != nil {
+		switch {
+		case existing == nil:
+		case existing.Team != nil:
 			resource = withKeys(resource, existing.Team.Keys)
+		case existing.Route != nil:
+			resource = withUnknownKind(resource, existing.Route.UnknownKind)
 		}
 		result = append(result, resource)
 		if existing == nil || !reflect.DeepEqual(resource, *existing) {
@@ -174,6 +183,17 @@
 	return r
 }
 
+// withUnknownKind returns a copy of a route with its stored kind if that is unknown and the
+// declaration does not replace it.
+func withUnknownKind(r catkinrun.Resource, kind string) catkinrun.Resource {
+	route := *r.Route
+	if !route.Idempotent && !route.Upload {
+		route.UnknownKind = kind
+	}
+	r.Route = &route
+	return r
+}
+
 func find(list []catkinrun.Resource, r catkinrun.Resource) *catkinrun.Resource {
 	for i, other := range list {
 		if other.Kind == r.Kind && other.Name == r.Name {
@@ -204,9 +224,22 @@
 	case r.Team != nil:
 		return fmt.Sprintf(" rate %g burst %g keys %d", r.Team.Rate, r.Team.Burst, len(r.Team.Keys))
 	case r.Route != nil:
-		return fmt.Sprintf(" %s%s to %v, priority %d", r.Route.Domain, r.Route.Prefix, r.Route.Targets, r.Route.Priority)
+		return fmt.Sprintf(" %s%s to %v, priority %d, %s", r.Route.Domain, r.Route.Prefix, r.Route.Targets, r.Route.Priority, requestKind(r.Route))
 	case r.Service != nil:
 		return fmt.Sprintf(" health %s connections %d", r.Service.Health, r.Service.MaxConnections)
 	}
 	return ""
 }
+
+// requestKind describes how the requests of a route may be repeated.
+func requestKind(r *catkinrun.Route) string {
+	switch {
+	case r.Idempotent:
+		return "idempotent"
+	case r.Upload:
+		return "upload"
+	case r.UnknownKind != "":
+		return fmt.Sprintf("unknown kind %q, treated as not idempotent", r.UnknownKind)
+	}
+	return "not idempotent"
+}
--- a/resource.go
+++ b/resource.go
@@ -48,6 +48,11 @@
 	Timeout    Duration `cbor:"timeout" json:"timeout" yaml:"timeout"`       // longest wait for a response
 	Objective  Duration `cbor:"objective" json:"objective" yaml:"objective"` // latency objective
 	Attempts   int      `cbor:"attempts" json:"attempts" yaml:"attempts"`    // maximum number of backend servers that one request is sent to
+	// Upload marks requests with large bodies, which are not idempotent.
+	Upload bool `cbor:"upload,omitempty" json:"upload,omitempty" yaml:"upload,omitempty"`
+	// UnknownKind is the stored kind of the requests if it is none that this version knows. The
+	// requests are then treated as not idempotent. It cannot be declared.
+	UnknownKind string `cbor:"unknown-kind,omitempty" json:"unknown-kind,omitempty" yaml:"unknown-kind,omitempty"`
 }
 
 // Target is a service that a route's requests go to, with its weight.
@@ -177,6 +182,10 @@
 		return r.invalid("objective", "expected a duration of at least 0")
 	case route.Attempts < 1:
 		return r.invalid("attempts", "expected at least 1")
+	case route.Upload && route.Idempotent:
+		return r.invalid("upload", "uploads are not idempotent")
+	case route.UnknownKind != "" && (route.Upload || route.Idempotent):
+		return r.invalid("unknown-kind", "requests of an unknown kind are neither idempotent nor uploads")
 	}
 	return r.validateTargets()
 }
