Connections: bound the heads of responses

Cause: the transport read up to 10 MB of a response's head, so that a server that sends bytes without end held a connection and its memory for seconds (200 connections: all 8 MB were read of each endless status line, header or interim response). Change: 64 KB for a head, interim responses included, on connections to servers, daemons and the store.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -11,6 +11,10 @@
 	"time"
 )
 
+// maxResponseHeaderBytes bounds the head of a response, interim responses included. A server
+// in trouble may send one without end, and net/http would read 10 MB of it.
+const maxResponseHeaderBytes = 64 << 10
+
 // Conn is a connection that counts the bytes written and can be sealed, after which
 // writes fail.
 type Conn struct {
@@ -72,6 +76,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
