Callers: declared limits on headers and idle connections are applied

Cause: header-bytes, header-timeout and idle-timeout were distributed and applied nowhere. Ruled out: deadlines of our own on connections (a second parser of requests); changing the fields of a running http.Server (a data race). Change: the caller listener passes each new connection to an http.Server for the limits in force; open connections keep theirs. Limits that are not declared keep the daemon's.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -198,9 +198,6 @@
 	for _, s := range d.services {
 		supervisor.Add(s)
 	}
-	for _, l := range d.listeners {
-		supervisor.Add(l)
-	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	stopped := supervisor.ServeBackground(background)
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/broker"
 	"github.com/catkinrun/catkinrun/dialer"
 	"github.com/catkinrun/catkinrun/filterer"
@@ -20,12 +21,12 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's headers.
+	// headerTimeout bounds the reading of a request's headers if the operator does not.
 	headerTimeout = 10 * time.Second
-	// listenerIdleTimeout closes idle connections. It is above the idle timeouts that are
+	// listenerIdleTimeout closes idle connections if the operator does not. It is above the idle timeouts that are
 	// stated to callers, so that callers close first.
 	listenerIdleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the headers of a request.
+	// maxHeaderBytes bounds the headers of a request if the operator does not.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -118,10 +119,18 @@
 			Handler: d.closeAfterResponse(l, s.handler), ConnState: l.countOpen, ReadHeaderTimeout: headerTimeout, IdleTimeout: listenerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
 		d.listeners = append(d.listeners, l)
+		if s.name == "caller" {
+			d.services = append(d.services, newLimitedListener(l, d.declaredLimits))
+		} else {
+			d.services = append(d.services, l)
+		}
 	}
 	return nil
 }
 
+// declaredLimits returns the operator's limits on what callers may send.
+func (d *Daemon) declaredLimits() catkinrun.Limits { return d.configurer.Snapshot().Limits() }
+
 // countRunning counts the running requests.
 func (d *Daemon) countRunning(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
