Store: two watchers in each availability zone, the others ask them

Ruled out: a fixed watcher a daemon (a watcher cut off without a sign would hide changes for three seconds); changes passed on by the daemons that wrote them. Change: package relayer is the store as followers see it. A daemon that is not among its zone's watchers, two by rendezvous hashing and one more for 300 hosts, asks them in turn, at most 0.8 s each; after a failure it watches the store itself once. RPC between daemons does not count as a running request when a daemon shuts down.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/catkinrun/catkinrun/messenger"
 	"github.com/catkinrun/catkinrun/platform"
 	"github.com/catkinrun/catkinrun/registrar"
+	"github.com/catkinrun/catkinrun/relayer"
 	"github.com/catkinrun/catkinrun/retrier"
 	"github.com/catkinrun/catkinrun/router"
 	"github.com/catkinrun/catkinrun/shedder"
@@ -92,6 +93,7 @@
 	registrar     *registrar.Registrar
 	broker        *broker.Broker
 	limiter       *limiter.Limiter
+	relayer       *relayer.Relayer
 	syncer        *syncer.Syncer
 	admitter      *admitter.Admitter
 	peerClient    *messenger.Client
@@ -130,8 +132,9 @@
 	d.broker = broker.New(store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.ownerStopped)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
-	d.configuration = follower.New(store, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
-	d.members = follower.New(store, d.clock, d.log, locator.Table, membersInterval, d.applyMembers)
+	d.relayer = relayer.New(store, d.locator, d.askWatcher, d.log, self)
+	d.configuration = follower.New(d.relayer, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
+	d.members = follower.New(d.relayer, d.clock, d.log, locator.Table, membersInterval, d.applyMembers)
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
 	d.syncer = syncer.New(d.configurer, d.locator, d.broker, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
 	d.admitter = admitter.New(initialSlots, d.clock)
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -17,6 +17,7 @@
 	"github.com/catkinrun/catkinrun/filterer"
 	"github.com/catkinrun/catkinrun/messenger"
 	"github.com/catkinrun/catkinrun/platform"
+	"github.com/catkinrun/catkinrun/relayer"
 	"github.com/catkinrun/catkinrun/syncer"
 )
 
@@ -103,7 +104,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"peer", addresses.Peer, d.countRunning(d.peerHandler())},
+		{"peer", addresses.Peer, d.peerHandler()},
 		{"announce", addresses.Announce, platform.AnnouncementHandler(d.registrar)},
 		{"caller", addresses.Caller, d.countRunning(d.gateway.CallerHandler())},
 		{"ready", addresses.Ready, platform.ReadinessHandler(d.ready)},
@@ -131,7 +132,7 @@
 // declaredLimits returns the operator's limits on what callers may send.
 func (d *Daemon) declaredLimits() catkinrun.Limits { return d.configurer.Snapshot().Limits() }
 
-// countRunning counts the running requests.
+// countRunning counts the running requests; RPC between daemons is not among them.
 func (d *Daemon) countRunning(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.running.Add(1)
@@ -145,7 +146,8 @@
 	mux := http.NewServeMux()
 	messenger.Handle(mux, syncer.Procedure, d.syncer.Handle)
 	messenger.Handle(mux, broker.Procedure, d.broker.GrantTokens)
-	requestHandler := d.gateway.PeerHandler()
+	messenger.Handle(mux, relayer.Procedure, d.relayer.Handle)
+	requestHandler := d.countRunning(d.gateway.PeerHandler())
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(filterer.EnvelopeHeader) != "" {
 			requestHandler.ServeHTTP(w, r)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -6,8 +6,10 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/broker"
 	"github.com/catkinrun/catkinrun/messenger"
+	"github.com/catkinrun/catkinrun/relayer"
 )
 
 // incarnationBytes is the length of the random identifier of a daemon's start, enough to
@@ -42,6 +44,11 @@
 	return messenger.Call[broker.TokenRequest, broker.TokenResponse](ctx, d.peerClient, owner.Peer, broker.Procedure, request)
 }
 
+// askWatcher implements relayer.Ask.
+func (d *Daemon) askWatcher(ctx context.Context, watcher catkinrun.Member, request *relayer.Request) (*relayer.Response, error) {
+	return messenger.Call[relayer.Request, relayer.Response](ctx, d.peerClient, watcher.Peer, relayer.Procedure, request)
+}
+
 // ownerStopTimeout bounds the request to an earlier owner. It allows for two
 // trips across a region.
 const ownerStopTimeout = 300 * time.Millisecond
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,245 @@
+// Package relayer lets a few daemons of each availability zone, the watchers, watch the
+// platform's store for the others, so that the calls to the store do not grow with the fleet.
+//
+// A daemon that is not a watcher asks the watchers of its zone in turn for the changes of a
+// table. A watcher that is cut off from the store therefore delays a change by one turn at
+// most. If a watcher does not answer, or its own calls to the store fail, the daemon watches
+// the store itself for once.
+package relayer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+)
+
+// Procedure is the path of watch requests on a peer listener.
+const Procedure = "/catkinrun.peer/watch"
+
+const (
+	// minWatchers is the number of watchers of a zone, and hostsPerWatcher the number of hosts
+	// of the zone for each further one.
+	minWatchers     = 2
+	hostsPerWatcher = 300
+	// turnTime is how long a watcher holds a request without changes. A configuration must be
+	// in force two seconds after it is written, even if one watcher is cut off from the store.
+	turnTime = 800 * time.Millisecond
+	// turnTimeout is the time after which a watcher counts as failed.
+	turnTimeout = turnTime + 300*time.Millisecond
+)
+
+// Request asks a watcher for the changes of a table after a revision.
+type Request struct {
+	Table string             `cbor:"table"`
+	After catkinrun.Revision `cbor:"after"`
+}
+
+// Response has the changed rows.
+type Response struct {
+	Rows     []catkinrun.Row    `cbor:"rows,omitempty"`
+	Revision catkinrun.Revision `cbor:"revision"`
+	Usable   bool               `cbor:"usable"` // the daemon watches the store and has all changes after the revision
+}
+
+// Members lists the hosts.
+type Members interface {
+	Members() []catkinrun.Member
+}
+
+// Ask sends a request to a watcher.
+type Ask func(ctx context.Context, watcher catkinrun.Member, request *Request) (*Response, error)
+
+// Relayer is the store as one daemon sees it: directly, or through a watcher. It passes on
+// what it has to other daemons.
+type Relayer struct {
+	catkinrun.Store // the platform's store
+
+	members Members
+	ask     Ask
+	log     logrus.FieldLogger
+	self    catkinrun.Member
+
+	mu     sync.Mutex
+	tables map[string]*table
+}
+
+// table is a copy of a table of the store.
+type table struct {
+	rows     map[string]catkinrun.Row // newest row of each key, deleted ones included
+	listedAt catkinrun.Revision       // deletions before this revision are unknown
+	revision catkinrun.Revision
+	watched  bool          // the last call was to the store itself and succeeded
+	changed  chan struct{} // closed and replaced at each change
+	turns    int           // number of requests to watchers
+}
+
+// New returns a relayer for the daemon that self describes.
+func New(store catkinrun.Store, members Members, ask Ask, log logrus.FieldLogger, self catkinrun.Member) *Relayer {
+	return &Relayer{Store: store, members: members, ask: ask, log: log, self: self, tables: make(map[string]*table)}
+}
+
+// List implements catkinrun.Store. It reads the store itself.
+func (r *Relayer) List(ctx context.Context, name string) (catkinrun.Page, error) {
+	page, err := r.Store.List(ctx, name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tableLocked(name)
+	t.watched = err == nil
+	if err == nil {
+		t.rows = make(map[string]catkinrun.Row, len(page.Rows))
+		t.listedAt = page.Revision
+		t.add(page)
+	}
+	return page, err
+}
+
+// Watch implements catkinrun.Store.
+func (r *Relayer) Watch(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
+	if watcher, ok := r.nextWatcher(name); ok {
+		page, err := r.askWatcher(ctx, watcher, name, after)
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+		r.log.WithError(err).WithFields(logrus.Fields{"watcher": watcher.Host, "table": name}).Debug("relayer: watcher failed, watching the store")
+	}
+	page, err := r.Store.Watch(ctx, name, after, wait)
+	r.record(name, page, err, true)
+	return page, err
+}
+
+// nextWatcher returns the watcher whose turn it is; ok is false if this daemon has to watch
+// the store itself.
+func (r *Relayer) nextWatcher(name string) (watcher catkinrun.Member, ok bool) {
+	watchers := watchersOf(r.members.Members(), r.self.Zone)
+	if len(watchers) == 0 || slices.ContainsFunc(watchers, func(m catkinrun.Member) bool { return m.Host == r.self.Host }) {
+		return catkinrun.Member{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tableLocked(name)
+	t.turns++
+	return watchers[t.turns%len(watchers)], true
+}
+
+// watchersOf returns the watchers of an availability zone.
+func watchersOf(members []catkinrun.Member, zone string) []catkinrun.Member {
+	byHost := make(map[string]catkinrun.Member)
+	var hosts []string
+	for _, m := range members {
+		if m.Zone == zone && !m.Leaving {
+			byHost[m.Host] = m
+			hosts = append(hosts, m.Host)
+		}
+	}
+	count := min(len(hosts), minWatchers+len(hosts)/hostsPerWatcher)
+	watchers := make([]catkinrun.Member, 0, count)
+	for _, host := range catkinrun.RendezvousOrder("watchers/"+zone, hosts)[:count] {
+		watchers = append(watchers, byHost[host])
+	}
+	return watchers
+}
+
+func (r *Relayer) askWatcher(ctx context.Context, watcher catkinrun.Member, name string, after catkinrun.Revision) (catkinrun.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+	defer cancel()
+	response, err := r.ask(ctx, watcher, &Request{Table: name, After: after})
+	if err != nil {
+		return catkinrun.Page{}, err
+	}
+	if !response.Usable {
+		return catkinrun.Page{}, &UnusableError{Host: watcher.Host}
+	}
+	page := catkinrun.Page{Rows: response.Rows, Revision: response.Revision}
+	r.record(name, page, nil, false)
+	return page, nil
+}
+
+// UnusableError reports that a daemon does not watch the store at the moment, or lacks
+// changes after the requested revision.
+type UnusableError struct {
+	Host string
+}
+
+func (e *UnusableError) Error() string { return e.Host + " does not watch the store" }
+
+// record adds the result of a watch, which is direct if it came from the store itself.
+func (r *Relayer) record(name string, page catkinrun.Page, err error, direct bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tableLocked(name)
+	t.watched = direct && err == nil
+	if err == nil {
+		t.add(page)
+	}
+	if !t.watched {
+		t.notify() // daemons that wait here have to turn to another watcher
+	}
+}
+
+func (r *Relayer) tableLocked(name string) *table {
+	t, ok := r.tables[name]
+	if !ok {
+		t = &table{rows: make(map[string]catkinrun.Row), changed: make(chan struct{})}
+		r.tables[name] = t
+	}
+	return t
+}
+
+func (t *table) add(page catkinrun.Page) {
+	for _, row := range page.Rows {
+		if row.Revision >= t.rows[row.Key].Revision {
+			t.rows[row.Key] = row
+		}
+	}
+	t.revision = max(t.revision, page.Revision)
+	if len(page.Rows) > 0 {
+		t.notify()
+	}
+}
+
+func (t *table) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Handle responds to the request of another daemon, at the latest after turnTime.
+func (r *Relayer) Handle(ctx context.Context, request *Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, turnTime)
+	defer cancel()
+	for {
+		response, changed := r.respond(request)
+		if !response.Usable || len(response.Rows) > 0 {
+			return response, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			response, _ = r.respond(request)
+			return response, nil
+		}
+	}
+}
+
+// respond returns the present response to a request and a channel that is closed when it
+// changes.
+func (r *Relayer) respond(request *Request) (response *Response, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tableLocked(request.Table)
+	response = &Response{Revision: t.revision, Usable: t.watched && request.After >= t.listedAt}
+	if !response.Usable {
+		return response, t.changed
+	}
+	for _, row := range t.rows {
+		if row.Revision > request.After {
+			response.Rows = append(response.Rows, row)
+		}
+	}
+	slices.SortFunc(response.Rows, func(a, b catkinrun.Row) int { return int(a.Revision) - int(b.Revision) })
+	return response, t.changed
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,248 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/relayer"
+)
+
+const tableName = "t"
+
+// store is a table of one key whose watches wait for a change.
+type store struct {
+	catkinrun.Store
+	mu       sync.Mutex
+	revision catkinrun.Revision
+	changed  chan struct{}
+	calls    int
+	down     map[string]bool // by host: calls fail
+}
+
+func (s *store) write() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) fail(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[host] = true
+}
+
+func (s *store) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *store) fails(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down[host]
+}
+
+// view is the store as one host reaches it.
+type view struct {
+	*store
+	host string
+}
+
+func (v view) page() (catkinrun.Page, <-chan struct{}, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down[v.host] {
+		return catkinrun.Page{}, nil, &catkinrun.StoreError{Operation: "watch", Status: 503}
+	}
+	row := catkinrun.Row{Key: "k", Value: []byte(fmt.Sprint(v.revision)), Revision: v.revision}
+	return catkinrun.Page{Rows: []catkinrun.Row{row}, Revision: v.revision}, v.changed, nil
+}
+
+func (v view) List(context.Context, string) (catkinrun.Page, error) {
+	page, _, err := v.page()
+	return page, err
+}
+
+func (v view) Watch(ctx context.Context, _ string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
+	v.mu.Lock()
+	v.calls++
+	v.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		page, changed, err := v.page()
+		if err != nil || page.Revision > after {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return catkinrun.Page{Revision: page.Revision}, nil
+		}
+	}
+}
+
+// fleet is a number of daemons of one zone that follow the table.
+type fleet struct {
+	store   *store
+	members []catkinrun.Member
+	daemons map[string]*daemon
+}
+
+type daemon struct {
+	fleet   *fleet
+	relayer *relayer.Relayer
+	frozen  atomic.Bool
+
+	mu       sync.Mutex
+	revision catkinrun.Revision
+	at       time.Time // of the last change
+}
+
+func (f *fleet) Members() []catkinrun.Member { return f.members }
+
+func (f *fleet) ask(ctx context.Context, watcher catkinrun.Member, request *relayer.Request) (*relayer.Response, error) {
+	if f.daemons[watcher.Host].frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return f.daemons[watcher.Host].relayer.Handle(ctx, request)
+}
+
+// run follows the table as package follower does.
+func (d *daemon) run(ctx context.Context) {
+	page, _ := d.relayer.List(ctx, tableName)
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		if page.Revision > d.revision {
+			d.revision, d.at = page.Revision, time.Now()
+		}
+		after := d.revision
+		d.mu.Unlock()
+		var err error
+		if page, err = d.relayer.Watch(ctx, tableName, after, 25*time.Second); err != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func startFleet(t *testing.T, count int) *fleet {
+	f := &fleet{store: &store{revision: 1, changed: make(chan struct{}), down: make(map[string]bool)}, daemons: make(map[string]*daemon)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(t.Context())
+	for i := range count {
+		m := catkinrun.Member{Host: fmt.Sprintf("host-%02d", i), Zone: "z"}
+		f.members = append(f.members, m)
+		d := &daemon{fleet: f}
+		d.relayer = relayer.New(view{f.store, m.Host}, f, f.ask, log, m)
+		f.daemons[m.Host] = d
+	}
+	for _, d := range f.daemons {
+		go d.run(ctx)
+	}
+	t.Cleanup(func() { cancel(); time.Sleep(time.Second) }) // sleeping daemons end
+	time.Sleep(30 * time.Second)                            // the watches with which all daemons began have ended
+	return f
+}
+
+// watchers returns the hosts that watch the store: those that stay busy there alone.
+func (f *fleet) watchers() []string {
+	var hosts []string
+	for host, d := range f.daemons {
+		response, _ := d.relayer.Handle(context.Background(), &relayer.Request{Table: tableName, After: f.store.revision})
+		if response.Usable {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// slowest writes a change and returns the time until it has reached the last daemon that is
+// neither frozen nor cut off from the store.
+func (f *fleet) slowest(t *testing.T) time.Duration {
+	t.Helper()
+	writtenAt := time.Now()
+	f.store.write()
+	time.Sleep(5 * time.Second)
+	slowest := time.Duration(0)
+	for host, d := range f.daemons {
+		if d.frozen.Load() || f.store.fails(host) {
+			continue
+		}
+		d.mu.Lock()
+		if d.revision != f.store.revision {
+			t.Fatalf("%s has revision %d of %d", host, d.revision, f.store.revision)
+		}
+		slowest = max(slowest, d.at.Sub(writtenAt))
+		d.mu.Unlock()
+	}
+	return slowest
+}
+
+// TestChangesReachAllThroughFewWatchers counts the calls to the store while changes are made.
+func TestChangesReachAllThroughFewWatchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 20)
+		is.Equal(len(f.watchers()), 2)
+		before := f.store.callCount()
+		for range 4 {
+			is.True(f.slowest(t) < 100*time.Millisecond)
+		}
+		is.True(f.store.callCount()-before <= 10) // one for each watcher and change
+	})
+}
+
+// TestFailedWatcherDelaysNoChange freezes a watcher, and cuts one off from the store, which
+// notices it late.
+func TestFailedWatcherDelaysNoChange(t *testing.T) {
+	const inForce = 2 * time.Second
+	for _, failure := range []string{"frozen", "store answers errors", "all watchers frozen"} {
+		t.Run(failure, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := startFleet(t, 20)
+				watchers := f.watchers()
+				switch failure {
+				case "frozen":
+					f.daemons[watchers[0]].frozen.Store(true)
+				case "store answers errors":
+					f.store.fail(watchers[0])
+				default:
+					f.daemons[watchers[0]].frozen.Store(true)
+					f.daemons[watchers[1]].frozen.Store(true)
+				}
+				for range 3 {
+					is.True(f.slowest(t) < inForce)
+				}
+			})
+		})
+	}
+}
+
+// TestWatcherWithoutOldChangesIsNotUsed asks a watcher that has listed the table after a
+// revision for the changes since then: it does not know which rows were deleted.
+func TestWatcherWithoutOldChangesIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 3)
+		watcher := f.daemons[f.watchers()[0]]
+		response, err := watcher.relayer.Handle(t.Context(), &relayer.Request{Table: tableName, After: 0})
+		is.NoErr(err)
+		is.True(!response.Usable)
+	})
+}
