Placement: a random sample by zone, and reports drawn towards the zone's mean

Change: four servers at random, two of the own zone; a reported load decays towards the mean of the server's zone in 0.3 s.

--- /dev/null
+++ b/broker/granting.go
@@ -0,0 +1,176 @@
+package broker
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// updateInterval is the minimum time between two updates of the voters and of the
+// fraction that the owner may grant.
+const updateInterval = 50 * time.Millisecond
+
+// GrantTokens handles a token request.
+func (b *Broker) GrantTokens(_ context.Context, request *TokenRequest) (*TokenResponse, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if request.Assignment != nil {
+		b.applyLocked(*request.Assignment)
+	}
+	if request.Generation > b.assignment.Generation {
+		b.superseded = true // the requesting daemon knows a later assignment
+	}
+	now := b.elapsed()
+	response := &TokenResponse{Incarnation: b.self.Incarnation, Generation: b.assignment.Generation, Stamp: now}
+	if request.Generation < b.assignment.Generation {
+		assignment := b.assignment
+		response.Assignment = &assignment
+	}
+	b.recordSupportLocked(request, now)
+	b.updateLocked(now)
+	response.Ready = b.authorizeLocked(now)
+	snapshot := b.snapshots.Snapshot()
+	for _, t := range request.Teams {
+		team, declared := snapshot.Team(t.Team)
+		shard := ShardOf(t.Team)
+		if !declared || !response.Ready.Has(shard) || request.Generation < b.assignment.Epoch(shard) {
+			continue
+		}
+		tokens := b.ledgers[shard].take(now, t.Team, team.Rate, team.Burst, t.Returned, t.Tokens)
+		response.Grants = append(response.Grants, Grant{Team: t.Team, Tokens: tokens})
+	}
+	return response, nil
+}
+
+// elapsed returns the reading of this daemon's clock that responses carry as their stamp.
+func (b *Broker) elapsed() time.Duration { return b.clock.Now().Sub(b.startedAt) }
+
+func (b *Broker) recordSupportLocked(request *TokenRequest, now time.Duration) {
+	s, ok := b.supporters[request.Host]
+	if !ok {
+		s = &supporter{}
+		b.supporters[request.Host] = s
+	}
+	s.record(request, now)
+}
+
+// updateLocked updates the voters, the available fraction of each ledger and the buckets of
+// idle teams, if the last update was long enough ago.
+func (b *Broker) updateLocked(now time.Duration) {
+	if now < b.updatedAt+updateInterval {
+		return
+	}
+	b.updatedAt = now
+	b.updateHostsLocked()
+	for _, l := range b.ledgers {
+		l.update(now, b.availableLocked(now, l.grantingSince))
+		l.dropIdle(now)
+	}
+}
+
+func (b *Broker) updateHostsLocked() {
+	members := b.members.Members()
+	hosts := make([]string, 0, len(members))
+	for _, m := range members {
+		hosts = append(hosts, m.Host)
+	}
+	if slices.Equal(hosts, b.hosts) {
+		return
+	}
+	b.hosts, b.voters = hosts, voters(hosts)
+	for host := range b.supporters {
+		if _, found := slices.BinarySearch(hosts, host); !found {
+			delete(b.supporters, host)
+		}
+	}
+}
+
+// Standing returns whether the requests of this daemon are votes, and whether its host is
+// among the voters of some shard. A restarted daemon votes only once it has read the store:
+// another daemon could have sent it an earlier assignment than it voted under before.
+func (b *Broker) Standing() (votes, isVoter bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.updateLocked(b.elapsed())
+	isVoter = slices.ContainsFunc(b.voters[:], func(group []string) bool { return slices.Contains(group, b.self.Host) })
+	return b.listed, isVoter
+}
+
+// availableLocked returns the fraction of the rates that this owner may grant until the next
+// update: all but the local shares of the hosts that may be using them until then.
+func (b *Broker) availableLocked(now, grantingSince time.Duration) float64 {
+	using := 0
+	for _, host := range b.hosts {
+		if s, ok := b.supporters[host]; !ok || !s.cedesAt(now+updateInterval, grantingSince) {
+			using++
+		}
+	}
+	return 1 - float64(using)*LocalShare(len(b.hosts))
+}
+
+// authorizeLocked returns the shards of which this daemon may grant tokens now.
+func (b *Broker) authorizeLocked(now time.Duration) ShardSet {
+	owned := b.assignment.OwnedBy(b.self)
+	if b.resigned || b.superseded {
+		owned = 0
+	}
+	var ready ShardSet
+	majorities := make(map[majority]bool)
+	for shard := range ShardCount {
+		if !owned.Has(shard) {
+			delete(b.ledgers, shard)
+			continue
+		}
+		m := majority{group: voterGroup(shard), epoch: b.assignment.Epoch(shard), earlierStopped: b.earlierStopped.Has(shard)}
+		supported, known := majorities[m]
+		if !known {
+			supported = b.hasMajorityLocked(m, now)
+			majorities[m] = supported
+		}
+		switch {
+		case !supported:
+			delete(b.ledgers, shard)
+		case b.ledgers[shard] == nil:
+			b.ledgers[shard] = newLedger(now, b.availableLocked(now, now))
+			fallthrough
+		default:
+			ready = ready.With(shard)
+		}
+	}
+	b.logReadyLocked(ready)
+	return ready
+}
+
+// majority describes the support that shards need; shards with the same description have it
+// together.
+type majority struct {
+	group          int
+	epoch          uint64
+	earlierStopped bool
+}
+
+// hasMajorityLocked reports whether a majority of a group of voters supports this owner. A
+// voter that has known the epoch for less than VoteTTL may still count for an earlier owner,
+// unless all of those have certainly stopped.
+func (b *Broker) hasMajorityLocked(m majority, now time.Duration) bool {
+	hosts := b.voters[m.group]
+	count := 0
+	for _, host := range hosts {
+		s, ok := b.supporters[host]
+		if ok && s.votesFor(m.epoch, now) && (m.earlierStopped || s.settledIn(m.epoch, now)) {
+			count++
+		}
+	}
+	return 2*count > len(hosts)
+}
+
+// logReadyLocked logs a change of the shards of which this daemon grants tokens.
+func (b *Broker) logReadyLocked(ready ShardSet) {
+	if ready == b.ready {
+		return
+	}
+	b.log.WithFields(logrus.Fields{"shards": ready.Len(), "before": b.ready.Len(), "generation": b.assignment.Generation}).Info("broker: shards whose tokens this daemon grants changed")
+	b.ready = ready
+}
--- a/router/router.go
+++ b/router/router.go
@@ -38,8 +38,12 @@
 	latencyDecayTime = 3 * time.Second
 	// minFailureFraction is the failure fraction below which failures are ignored.
 	minFailureFraction = 0.01
-	// loadReportTTL is how long a load that a server reported is used.
-	loadReportTTL = time.Second
+	// loadDecayTime is the time constant with which a load that a server reported loses its
+	// meaning: other daemons send it requests too, and follow the same reports. An older one
+	// tells no more than the mean of the servers near it.
+	loadDecayTime = 300 * time.Millisecond
+	// meanLoadSmoothing is the weight of a report in the mean load of a service in a zone.
+	meanLoadSmoothing = 0.05
 	// minEjection and maxEjection bound the time for which a host that cannot be reached is
 	// ejected; it doubles with each failure. A host that is reachable again is used within
 	// maxEjection.
@@ -49,7 +53,7 @@
 	// it can be chosen again, unless its member row shows by then that it accepts none.
 	leavingEjection = time.Second
 	// sampleSize is the number of servers that are compared for one request.
-	sampleSize = 6
+	sampleSize = 4
 	// overloadedLoad is the load assumed for a server that refused for overload.
 	overloadedLoad = 1.0
 )
@@ -59,9 +63,15 @@
 	Serving(service string) []catkinrun.Member
 }
 
+// group is the servers of a service in one zone.
+type group struct {
+	service, zone string
+}
+
 // server is the state that this daemon keeps of one host.
 type server struct {
 	incarnation     string
+	group           group
 	inFlight        int     // requests from this daemon
 	reportedLoad    float64 // load in its last response, per slot of its concurrency limit
 	reportedAt      time.Time
@@ -86,13 +96,14 @@
 	zone    string
 	random  func() float64
 
-	mu      sync.Mutex
-	servers map[string]*server
+	mu        sync.Mutex
+	servers   map[string]*server
+	meanLoads map[group]float64
 }
 
 // New returns a router for a daemon in a zone. random returns numbers from 0 to 1.
 func New(members Members, clock catkinrun.Clock, log logrus.FieldLogger, zone string, random func() float64) *Router {
-	return &Router{members: members, clock: clock, log: log, zone: zone, random: random, servers: make(map[string]*server)}
+	return &Router{members: members, clock: clock, log: log, zone: zone, random: random, servers: make(map[string]*server), meanLoads: make(map[group]float64)}
 }
 
 // Choice is a chosen host and the figures behind the choice.
@@ -110,38 +121,61 @@
 	Tried     []string      // hosts of its earlier attempts
 }
 
-// Choose picks a host that has not been tried. ok is false if there is none.
+// Choose picks a host that has not been tried. ok is false if there is none. It compares a
+// random sample, half of it from the daemon's own zone if there are enough servers: daemons
+// that all compared the same servers would agree on the same few, and a server near by is one
+// whose load a daemon of a large fleet has heard of lately.
 func (r *Router) Choose(c Criteria) (choice Choice, ok bool) {
 	candidates := r.members.Serving(c.Service)
+	near, far := splitByZone(candidates, r.zone)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	offset := int(r.random() * float64(len(candidates)))
-	best := math.Inf(1)
+	choice.Score, choice.Candidates = math.Inf(1), len(candidates)
+	nearCount := min(len(near), max(sampleSize/2, sampleSize-len(far)))
+	compared := r.compareLocked(&choice, near, nearCount, c, now)
+	compared += r.compareLocked(&choice, far, sampleSize-compared, c, now)
+	if compared > 0 {
+		return choice, true
+	}
+	return r.lastResortLocked(candidates, c.Tried)
+}
+
+// splitByZone returns the members in a zone and those in the others.
+func splitByZone(members []catkinrun.Member, zone string) (near, far []catkinrun.Member) {
+	near, far = make([]catkinrun.Member, 0, len(members)), make([]catkinrun.Member, 0, len(members))
+	for _, m := range members {
+		if m.Zone == zone {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	return near, far
+}
+
+// compareLocked scores up to count random members that can be chosen, and replaces choice by
+// the best of them if it is better. It returns how many it has scored, and changes the order
+// of the members.
+func (r *Router) compareLocked(choice *Choice, members []catkinrun.Member, count int, c Criteria, now time.Time) int {
 	compared := 0
-	for i := range candidates {
-		m := candidates[(offset+i)%len(candidates)]
+	for i := 0; i < len(members) && compared < count; i++ {
+		j := i + int(r.random()*float64(len(members)-i))
+		members[i], members[j] = members[j], members[i]
+		m := members[i]
 		if slices.Contains(c.Tried, m.Host) {
 			continue
 		}
-		s := r.serverLocked(m.Host, m.Incarnation)
+		s := r.serverLocked(m)
 		if now.Before(s.ejectedUntil) {
 			continue
 		}
-		if score := r.scoreLocked(s, m, c, now); score < best {
-			best = score
-			choice.Member = m
+		if score := r.scoreLocked(s, m, c, now); score < choice.Score {
+			choice.Score, choice.Member = score, m
 		}
 		compared++
-		if compared == sampleSize {
-			break
-		}
 	}
-	choice.Score, choice.Candidates = best, len(candidates)
-	if compared > 0 {
-		return choice, true
-	}
-	return r.lastResortLocked(candidates, c.Tried)
+	return compared
 }
 
 // lastResortLocked returns the host whose ejection ends first, for a request for which all
@@ -149,7 +183,7 @@
 func (r *Router) lastResortLocked(candidates []catkinrun.Member, tried []string) (choice Choice, ok bool) {
 	var until time.Time
 	for _, m := range candidates {
-		s := r.serverLocked(m.Host, m.Incarnation)
+		s := r.serverLocked(m)
 		if slices.Contains(tried, m.Host) || ok && !s.ejectedUntil.Before(until) {
 			continue
 		}
@@ -160,10 +194,7 @@
 }
 
 func (r *Router) scoreLocked(s *server, m catkinrun.Member, c Criteria, now time.Time) float64 {
-	score := float64(s.inFlight) / float64(m.Server.Slots)
-	if now.Sub(s.reportedAt) < loadReportTTL {
-		score = max(score, s.reportedLoad)
-	}
+	score := max(float64(s.inFlight)/float64(m.Server.Slots), r.expectedLoadLocked(s, now))
 	if m.Zone != r.zone {
 		score += zonePenalty
 	}
@@ -178,6 +209,23 @@
 	return score + failurePenalty*failures
 }
 
+// expectedLoadLocked returns the load that a server probably has now: the last one that it
+// reported, drawn towards the mean of its group by the report's age.
+func (r *Router) expectedLoadLocked(s *server, now time.Time) float64 {
+	mean := r.meanLoads[s.group]
+	return mean + (s.reportedLoad-mean)*math.Exp(-now.Sub(s.reportedAt).Seconds()/loadDecayTime.Seconds())
+}
+
+// recordLoadLocked records a load that a server has reported.
+func (r *Router) recordLoadLocked(s *server, load float64, now time.Time) {
+	s.reportedLoad, s.reportedAt = load, now
+	mean, known := r.meanLoads[s.group]
+	if !known {
+		mean = load
+	}
+	r.meanLoads[s.group] = mean + meanLoadSmoothing*(load-mean)
+}
+
 // RecordStart counts a request to the host as in flight.
 func (r *Router) RecordStart(host string) {
 	r.mu.Lock()
@@ -211,8 +259,11 @@
 	}
 	now := r.clock.Now()
 	s.inFlight = max(0, s.inFlight-1)
+	if result == Overloaded {
+		load = max(load, overloadedLoad)
+	}
 	if load >= 0 {
-		s.reportedLoad, s.reportedAt = load, now
+		r.recordLoadLocked(s, load, now)
 	}
 	switch result {
 	case Served:
@@ -220,8 +271,6 @@
 		s.recordLocked(now, 0)
 	case Failed:
 		s.recordLocked(now, 1)
-	case Overloaded:
-		s.reportedLoad, s.reportedAt = max(s.reportedLoad, overloadedLoad), now
 	case Leaving:
 		s.ejectedUntil = now.Add(leavingEjection)
 	case Unreachable:
@@ -263,14 +312,15 @@
 
 // serverLocked returns the state of a host. The state of an earlier incarnation is dropped,
 // except for the requests in flight.
-func (r *Router) serverLocked(host, incarnation string) *server {
-	s, ok := r.servers[host]
+func (r *Router) serverLocked(m catkinrun.Member) *server {
+	s, ok := r.servers[m.Host]
 	if !ok {
-		s = &server{incarnation: incarnation}
-		r.servers[host] = s
+		s = &server{incarnation: m.Incarnation}
+		r.servers[m.Host] = s
 	}
-	if s.incarnation != incarnation {
-		*s = server{incarnation: incarnation, inFlight: s.inFlight}
+	if s.incarnation != m.Incarnation {
+		*s = server{incarnation: m.Incarnation, inFlight: s.inFlight}
 	}
+	s.group = group{service: m.Server.Service, zone: m.Zone}
 	return s
 }
