Faults found by reading: split, row, deregistrations, ages, missing keys

Causes: (1) a route whose targets change, but not their number, kept the requests that were due to the former ones; (2) Publish read the host's name without the mutex; (3) deregistrations of unknown servers were kept without bound; (4) the age of the store's last response counted from 1970 before there was one; (5) a request without a key was refused as one with an unknown key. Change: the split starts anew with other targets; the name is kept apart; one bound for all ended servers; the age counts from the start; a detail of its own.

--- a/filterer/authenticate.go
+++ b/filterer/authenticate.go
@@ -33,6 +33,8 @@
 		if team, _ := snapshot.Team(name); team.Priority != nil {
 			c.Envelope.TeamPriority = *team.Priority
 		}
+	case !c.Route.Open && key == "":
+		return refuse(http.StatusUnauthorized, catkinrun.ReasonKey, "the request has no key")
 	case !c.Route.Open:
 		return refuse(http.StatusUnauthorized, catkinrun.ReasonKey, "the key is unknown or withdrawn")
 	default:
--- a/filterer/classify.go
+++ b/filterer/classify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,11 +19,11 @@
 type classify struct {
 	deps       *Dependencies
 	configurer *configurer.Configurer
-	splitter   trafficSplitter
+	splitter   *trafficSplitter
 }
 
 func newClassify(deps *Dependencies) catkinrun.Filter {
-	return &classify{deps: deps, configurer: deps.Configurer, splitter: trafficSplitter{credits: make(map[string][]float64)}}
+	return &classify{deps: deps, configurer: deps.Configurer, splitter: newTrafficSplitter()}
 }
 
 // Process matches the route, fills the envelope from the configuration and sets the
@@ -65,8 +66,18 @@
 
 // trafficSplitter divides the requests of each route among its services by weight.
 type trafficSplitter struct {
-	mu      sync.Mutex
-	credits map[string][]float64 // by route: number of requests due to each service
+	mu     sync.Mutex
+	splits map[string]split // by route
+}
+
+// split is the state of one route's division.
+type split struct {
+	targets []catkinrun.Target
+	credits []float64 // number of requests due to each target
+}
+
+func newTrafficSplitter() *trafficSplitter {
+	return &trafficSplitter{splits: make(map[string]split)}
 }
 
 // choose returns the service to which most requests are due (smooth weighted round-robin),
@@ -81,11 +92,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	credits := s.credits[route]
-	if len(credits) != len(targets) {
-		credits = make([]float64, len(targets))
-		s.credits[route] = credits
+	state := s.splits[route]
+	if !slices.Equal(state.targets, targets) {
+		state = split{targets: targets, credits: make([]float64, len(targets))}
+		s.splits[route] = state
 	}
+	credits := state.credits
 	best := 0
 	for i, t := range targets {
 		credits[i] += t.Weight / sum
--- a/filterer/header_test.go
+++ b/filterer/header_test.go
@@ -55,7 +55,7 @@
 
 func TestSplitterKeepsWeightsInEveryBatch(t *testing.T) {
 	is := is.New(t)
-	s := trafficSplitter{credits: make(map[string][]float64)}
+	s := newTrafficSplitter()
 	targets := []catkinrun.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
 	for range 5 {
 		count := 0
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -43,19 +43,21 @@
 	listed      bool
 	backoff     time.Duration
 	failing     atomic.Bool
-	respondedAt atomic.Int64 // clock reading at the last response, in nanoseconds
+	respondedAt atomic.Int64 // clock reading at the last response or the start, in nanoseconds
 }
 
 // New returns a follower that passes the changes of the table to apply, in order. The pause
 // after each change lets the next call return several changes at once.
 func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, pause time.Duration, apply Apply) *Follower {
-	return &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, backoff: minBackoff}
+	f := &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, backoff: minBackoff}
+	f.respondedAt.Store(clock.Now().UnixNano())
+	return f
 }
 
 // Failing reports whether the last call to the store failed.
 func (f *Follower) Failing() bool { return f.failing.Load() }
 
-// Age returns the time since the store last responded.
+// Age returns the time since the store last responded, or since the start if it has not.
 func (f *Follower) Age() time.Duration {
 	return time.Duration(f.clock.Now().UnixNano() - f.respondedAt.Load())
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -81,3 +81,14 @@
 	is.NoErr(f.Step(context.Background()))
 	is.Equal(s.calls, []string{"list", "watch after 1", "watch after 1"})
 }
+
+// TestAgeBeforeFirstResponse asks for the age of the table before the store has responded.
+func TestAgeBeforeFirstResponse(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := clock.NewFake()
+	f := follower.New(&store{}, c, log, "t", 0, func(catkinrun.Page, bool) {})
+	c.Advance(3 * time.Second)
+	is.Equal(f.Age(), 3*time.Second) // since the start
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -41,6 +41,7 @@
 	locator    Locator
 	clock      catkinrun.Clock
 	log        logrus.FieldLogger
+	host       string
 	drainGrace time.Duration
 	changed    chan struct{} // requests a write of the row
 
@@ -64,7 +65,7 @@
 // accepts requests for drainGrace, from entry daemons that know no other server.
 func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, drainGrace time.Duration) *Registrar {
 	return &Registrar{
-		store: store, locator: locator, clock: clock, log: log, self: self, drainGrace: drainGrace,
+		store: store, locator: locator, clock: clock, log: log, host: self.Host, self: self, drainGrace: drainGrace,
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -187,7 +188,7 @@
 	defer r.mu.Unlock()
 	current := r.self.Server
 	if current == nil || current.ID != id {
-		r.ended = append(r.ended, endedServer{id: id})
+		r.endLocked(catkinrun.Server{ID: id})
 		return nil
 	}
 	r.endLocked(*current)
@@ -270,12 +271,12 @@
 	if err != nil {
 		return err
 	}
-	row := r.locator.Row(r.self.Host)
+	row := r.locator.Row(r.host)
 	if row.Revision != 0 && string(row.Value) == value {
 		releaseWaiters(waiters)
 		return nil
 	}
-	key := locator.Key(r.self.Host)
+	key := locator.Key(r.host)
 	page, err := r.store.Commit(ctx, catkinrun.Transaction{
 		Preconditions: []catkinrun.Precondition{{Table: locator.Table, Key: key, Revision: row.Revision}},
 		Writes:        []catkinrun.Write{{Table: locator.Table, Key: key, Value: []byte(value)}},
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -208,3 +210,35 @@
 		})
 	})
 }
+
+// TestDeregistrationsOfUnknownServersAreBounded deregisters servers that this daemon does not
+// know, as another writer may.
+func TestDeregistrationsOfUnknownServersAreBounded(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := registrar.New(&store{rows: make(map[string]catkinrun.Row)}, locator.New(log), clock.NewFake(), log, catkinrun.Member{Host: "h", Peer: "p"}, 0)
+	for i := range 1000 {
+		r.RecordDeregistration(fmt.Sprint("server-", i))
+	}
+	is.True(r.EndedCount() <= registrar.MaxEndedServers)
+}
+
+// TestPublishBesideAnnouncements publishes the row while it changes; the race detector checks
+// the accesses.
+func TestPublishBesideAnnouncements(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &store{rows: make(map[string]catkinrun.Row)}
+	r := registrar.New(s, locator.New(log), clock.System{}, log, catkinrun.Member{Host: "h", Peer: "p"}, 0)
+	var announcing sync.WaitGroup
+	announcing.Go(func() {
+		for i := range 200 {
+			r.RecordAnnouncement(catkinrun.Server{ID: "s", Service: "a", Slots: 1 + i%2, Sequence: uint64(i + 1)})
+		}
+	})
+	for range 200 {
+		is.New(t).NoErr(r.Publish(t.Context()))
+	}
+	announcing.Wait()
+}
