Rates: an owner that is replaced hands over what is left in its buckets

The next owner's buckets were empty, and requests that had waited for the change found no token within an eighth of their objective. Ruled out: a longer wait; credit for the time without an owner, in which the one before may have granted tokens. Change: the response by which an earlier owner confirms that it stopped has the whole tokens of the shards that it lost, and the next owner's buckets start with them.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -61,9 +61,10 @@
 }
 
 // ConfirmStopped requests that an earlier owner stop granting the tokens of shards that the
-// assignment gives to this daemon. It returns the shards for which that is certain: the
-// earlier owner's response confirms it, or the owner's process has ended.
-type ConfirmStopped func(ctx context.Context, earlier Owner, shards ShardSet, assignment Assignment) ShardSet
+// assignment gives to this daemon. It returns the shards for which that is certain, because
+// the earlier owner's response confirms it or the owner's process has ended, and the tokens
+// that the earlier owner hands over.
+type ConfirmStopped func(ctx context.Context, earlier Owner, shards ShardSet, assignment Assignment) (stopped ShardSet, handover []Grant)
 
 // Broker grants the tokens of the shards that this daemon owns, and claims shards whose
 // owner has failed.
@@ -94,6 +95,8 @@
 	ledgers        map[int]*ledger       // of the shards whose tokens are granted
 	ready          ShardSet              // shards whose tokens are granted
 	earlierStopped ShardSet              // all earlier owners of these have certainly stopped granting tokens
+	retired        map[int]*ledger       // of shards that this daemon has lost to another in this generation
+	handedOver     map[string]int        // by team: tokens received from the earlier owner
 	hosts          []string
 	voters         [voterGroupCount][]string
 	updatedAt      time.Duration
@@ -154,9 +157,14 @@
 		return
 	}
 	var reassigned ShardSet
+	b.retired, b.handedOver = make(map[int]*ledger), make(map[string]int)
 	for shard := range ShardCount {
-		if assignment.Epoch(shard) != b.assignment.Epoch(shard) {
-			reassigned = reassigned.With(shard)
+		if assignment.Epoch(shard) == b.assignment.Epoch(shard) {
+			continue
+		}
+		reassigned = reassigned.With(shard)
+		if l, ok := b.ledgers[shard]; ok {
+			b.retired[shard] = l
 			delete(b.ledgers, shard)
 		}
 	}
--- a/broker/election.go
+++ b/broker/election.go
@@ -272,13 +272,14 @@
 	}
 	b.applyRow(catkinrun.Row{Key: RowKey, Value: value, Revision: page.Revision})
 	if earlier.Generation == 0 && revision == 0 {
-		b.recordStopped(next, shards)
+		b.recordStopped(next, shards, nil)
 		return
 	}
 	for _, owner := range earlier.Owners {
 		// Only an owner that granted tokens proves that those before it had stopped.
 		if lost := earlier.OwnedBy(owner) & shards & granted[owner]; lost != 0 {
-			b.recordStopped(next, b.confirmStopped(ctx, owner, lost, next))
+			stopped, handover := b.confirmStopped(ctx, owner, lost, next)
+			b.recordStopped(next, stopped, handover)
 		}
 	}
 }
@@ -298,11 +299,18 @@
 	b.revision = 0 // the row has been removed
 }
 
-// recordStopped records shards of whose tokens all earlier owners have stopped granting.
-func (b *Broker) recordStopped(assignment Assignment, shards ShardSet) {
+// recordStopped records shards of whose tokens all earlier owners have stopped granting, and
+// the tokens that they have handed over.
+func (b *Broker) recordStopped(assignment Assignment, shards ShardSet, handover []Grant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.assignment.Generation == assignment.Generation {
-		b.earlierStopped |= shards
+	if b.assignment.Generation != assignment.Generation {
+		return
+	}
+	b.earlierStopped |= shards
+	for _, grant := range handover {
+		if shards.Has(ShardOf(grant.Team)) {
+			b.handedOver[grant.Team] = grant.Tokens
+		}
 	}
 }
--- a/broker/granting.go
+++ b/broker/granting.go
@@ -31,6 +31,9 @@
 	b.recordSupportLocked(request, now)
 	b.updateLocked(now)
 	response.Ready = b.authorizeLocked(now)
+	if request.Assignment != nil {
+		response.Handover = b.handOverLocked(request.Host)
+	}
 	snapshot := b.snapshots.Snapshot()
 	for _, t := range request.Teams {
 		team, declared := snapshot.Team(t.Team)
@@ -44,6 +47,33 @@
 	return response, nil
 }
 
+// handOverLocked returns the tokens left of the shards that now belong to a host's daemon, and
+// forgets them.
+func (b *Broker) handOverLocked(host string) []Grant {
+	var handover []Grant
+	for shard, l := range b.retired {
+		if owner, ok := b.assignment.Owner(shard); !ok || owner.Host != host {
+			continue
+		}
+		handover = append(handover, l.remaining()...)
+		delete(b.retired, shard)
+	}
+	return handover
+}
+
+// openLedgerLocked returns the ledger with which this daemon begins to grant the tokens of a
+// shard. It holds what the earlier owner has handed over.
+func (b *Broker) openLedgerLocked(shard int, now time.Duration) *ledger {
+	l := newLedger(now, b.availableLocked(now, now))
+	for team, tokens := range b.handedOver {
+		if ShardOf(team) == shard {
+			l.buckets[team] = &bucket{tokens: float64(tokens), requestedAt: now}
+			delete(b.handedOver, team)
+		}
+	}
+	return l
+}
+
 // elapsed returns the reading of this daemon's clock that responses carry as their stamp.
 func (b *Broker) elapsed() time.Duration { return b.clock.Now().Sub(b.startedAt) }
 
@@ -133,7 +163,7 @@
 		case !supported:
 			delete(b.ledgers, shard)
 		case b.ledgers[shard] == nil:
-			b.ledgers[shard] = newLedger(now, b.availableLocked(now, now))
+			b.ledgers[shard] = b.openLedgerLocked(shard, now)
 			fallthrough
 		default:
 			ready = ready.With(shard)
--- a/broker/ledger.go
+++ b/broker/ledger.go
@@ -63,6 +63,17 @@
 	return taken
 }
 
+// remaining returns the whole tokens that the buckets hold.
+func (l *ledger) remaining() []Grant {
+	var left []Grant
+	for team, b := range l.buckets {
+		if tokens := int(b.tokens); tokens > 0 {
+			left = append(left, Grant{Team: team, Tokens: tokens})
+		}
+	}
+	return left
+}
+
 // dropIdle drops the full buckets of teams without token requests. A new bucket holds no more
 // than the dropped one would.
 func (l *ledger) dropIdle(now time.Duration) {
--- a/broker/message.go
+++ b/broker/message.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinrun/catkinrun"
@@ -34,6 +35,7 @@
 	Stamp       time.Duration `cbor:"stamp"`       // reading of the owner's clock, which the next request echoes
 	Grants      []Grant       `cbor:"grants"`
 	Assignment  *Assignment   `cbor:"assignment,omitempty"` // if the requesting daemon has an older one
+	Handover    []Grant       `cbor:"handover,omitempty"`   // tokens left of the shards that the requesting daemon has taken over
 }
 
 // Grant is a number of tokens granted for one team.
@@ -57,7 +59,7 @@
 
 // Validate checks a decoded token response; it fails with *catkinrun.InvalidError.
 func (r *TokenResponse) Validate() error {
-	for _, g := range r.Grants {
+	for _, g := range slices.Concat(r.Grants, r.Handover) {
 		if g.Tokens < 0 {
 			return &catkinrun.InvalidError{Where: "token response", Field: g.Team, Reason: "expected no negative number"}
 		}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -54,9 +54,9 @@
 const ownerStopTimeout = 300 * time.Millisecond
 
 // ownerStopped implements broker.ConfirmStopped.
-func (d *Daemon) ownerStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) broker.ShardSet {
+func (d *Daemon) ownerStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) (stopped broker.ShardSet, handover []broker.Grant) {
 	if earlier.Host == d.settings.Host {
-		return shards // an earlier start of this daemon
+		return shards, nil // an earlier start of this daemon
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerStopTimeout)
 	defer cancel()
@@ -65,9 +65,9 @@
 	})
 	switch {
 	case broker.ProcessEnded(earlier, response, err):
-		return shards
+		return shards, nil
 	case err != nil || response.Generation < assignment.Generation:
-		return 0
+		return 0, nil
 	}
-	return shards.Without(response.Ready)
+	return shards.Without(response.Ready), response.Handover
 }
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,10 +26,11 @@
 // A liveFleet runs the real goroutines of many daemons in the fake time of a synctest bubble.
 // Messages take time, so that token requests overlap as they do between hosts.
 type liveFleet struct {
-	hosts   []*liveHost
-	members []catkinrun.Member
-	teams   []catkinrun.Team
-	store   *liveStore
+	hosts    []*liveHost
+	members  atomic.Pointer[[]catkinrun.Member]
+	teams    []catkinrun.Team
+	store    *liveStore
+	patience limiter.Patience
 
 	served, refused atomic.Int64
 	mu              sync.Mutex
@@ -82,8 +84,17 @@
 	return catkinrun.Page{Revision: row.Revision}, nil
 }
 
-func (f *liveFleet) Members() []catkinrun.Member { return f.members }
-func (f *liveFleet) Count() int                  { return len(f.members) }
+func (f *liveFleet) Members() []catkinrun.Member { return *f.members.Load() }
+func (f *liveFleet) Count() int                  { return len(f.Members()) }
+
+// leave publishes that a host is leaving; its daemon goes on.
+func (f *liveFleet) leave(h *liveHost) {
+	members := slices.Clone(f.Members())
+	for i, m := range members {
+		members[i].Leaving = m.Leaving || m.Host == h.name
+	}
+	f.members.Store(&members)
+}
 
 func (h *liveHost) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
 	return h.broker.Assignment()
@@ -113,15 +124,15 @@
 	return response, err
 }
 
-func (h *liveHost) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) broker.ShardSet {
+func (h *liveHost) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) (stopped broker.ShardSet, handover []broker.Grant) {
 	response, err := h.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: h.name, Generation: assignment.Generation, Assignment: &assignment})
 	switch {
 	case broker.ProcessEnded(earlier, response, err):
-		return shards
+		return shards, nil
 	case err != nil || response.Generation < assignment.Generation:
-		return 0
+		return 0, nil
 	}
-	return shards.Without(response.Ready)
+	return shards.Without(response.Ready), response.Handover
 }
 
 func (f *liveFleet) host(name string) *liveHost {
@@ -150,7 +161,7 @@
 // startFleet starts the daemons and waits until traffic may begin.
 func startFleet(t *testing.T, hosts int, teams []catkinrun.Team) *liveFleet {
 	t.Helper()
-	f := &liveFleet{teams: teams, servedAt: make(map[string][]time.Time)}
+	f := &liveFleet{teams: teams, patience: defaultPatience, servedAt: make(map[string][]time.Time)}
 	f.store = &liveStore{fleet: f}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -161,13 +172,15 @@
 	}
 	_, err := snapshots.Apply(catkinrun.SnapshotData{Version: 1, Resources: resources}, "test")
 	is.New(t).NoErr(err)
+	var members []catkinrun.Member
 	for i := range hosts {
 		h := &liveHost{fleet: f, name: fmt.Sprintf("host-%03d", i)}
 		h.broker = broker.New(f.store, f, snapshots, clock.System{}, log, ownerTable, broker.Owner{Host: h.name, Peer: h.name, Incarnation: h.name}, h.confirmStopped)
 		h.limiter = limiter.New(snapshots, f, h, clock.System{}, log, h.name)
 		f.hosts = append(f.hosts, h)
-		f.members = append(f.members, catkinrun.Member{Host: h.name, Peer: h.name, Incarnation: h.name})
+		members = append(members, catkinrun.Member{Host: h.name, Peer: h.name, Incarnation: h.name})
 	}
+	f.members.Store(&members)
 	for _, h := range f.hosts {
 		h.broker.Apply(catkinrun.Page{}, true)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -193,12 +206,12 @@
 	h.end()
 }
 
-// patience is that of a route with an objective of 2 s.
-var patience = limiter.Patience{NoAnswer: 500 * time.Millisecond, AboveRate: 250 * time.Millisecond}
+// defaultPatience is that of a route with an objective of 2 s.
+var defaultPatience = limiter.Patience{NoAnswer: 500 * time.Millisecond, AboveRate: 250 * time.Millisecond}
 
 // request sends a request of a team through a host.
 func (h *liveHost) request(ctx context.Context, team string) {
-	if h.limiter.Take(ctx, team, patience) != nil {
+	if h.limiter.Take(ctx, team, h.fleet.patience) != nil {
 		h.fleet.refused.Add(1)
 		return
 	}
@@ -298,6 +311,30 @@
 	})
 }
 
+// TestPlannedStopOfOwnerRefusesNothing has the owner leave while a team sends 60 % of its rate
+// through four hosts with an objective of half a second. The next owner takes over what is
+// left in the buckets; with empty ones, requests that wait for the change would be refused.
+func TestPlannedStopOfOwnerRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 4, sameTeams(1, 200))
+		f.patience = limiter.Patience{NoAnswer: 125 * time.Millisecond, AboveRate: 62 * time.Millisecond}
+		random := rand.New(rand.NewPCG(1, 5))
+		owner := f.owner(teamNames(0))
+		var loads sync.WaitGroup
+		loads.Go(func() { f.load(t.Context(), random, teamNames(0), 120, f.hosts, 3*time.Second) })
+		time.Sleep(time.Second)
+		f.leave(owner)
+		loads.Wait()
+		if f.owner(teamNames(0)) == owner {
+			t.Fatal("the leaving daemon still owns the team's shard")
+		}
+		if refused := f.refused.Load(); refused > 0 {
+			t.Fatalf("%d of %d requests refused", refused, refused+f.served.Load())
+		}
+		f.checkBound(t)
+	})
+}
+
 // TestOwnerCutOffIsReplaced cuts the owner off without a sign to the other hosts, and checks
 // that teams are served within their rates three seconds later.
 func TestOwnerCutOffIsReplaced(t *testing.T) {
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -95,15 +95,15 @@
 }
 
 // confirmStopped is a broker.ConfirmStopped like the one of package daemon.
-func (d *daemon) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) broker.ShardSet {
+func (d *daemon) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) (stopped broker.ShardSet, handover []broker.Grant) {
 	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: d.name, Generation: assignment.Generation, Assignment: &assignment})
 	switch {
 	case broker.ProcessEnded(earlier, response, err):
-		return shards
+		return shards, nil
 	case err != nil || response.Generation < assignment.Generation:
-		return 0
+		return 0, nil
 	}
-	return shards.Without(response.Ready)
+	return shards.Without(response.Ready), response.Handover
 }
 
 func newFleet(t *rapid.T, count int) *fleet {
