Rates: the broker itself asks an earlier owner to stop

Cause: the interpretation of an earlier owner's response stood in package daemon and in two test fixtures. Change: package broker sends the request and interprets the response; the fixtures use its code now.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -60,24 +60,21 @@
 	Snapshot() *catkinrun.Snapshot
 }
 
-// ConfirmStopped requests that an earlier owner stop granting the tokens of shards that the
-// assignment gives to this daemon. It returns the shards for which that is certain, because
-// the earlier owner's response confirms it or the owner's process has ended, and the tokens
-// that the earlier owner hands over.
-type ConfirmStopped func(ctx context.Context, earlier Owner, shards ShardSet, assignment Assignment) (stopped ShardSet, handover []Grant)
+// Ask sends a token request to an owner.
+type Ask func(ctx context.Context, owner Owner, request *TokenRequest) (*TokenResponse, error)
 
 // Broker grants the tokens of the shards that this daemon owns, and claims shards whose
 // owner has failed.
 type Broker struct {
-	store          catkinrun.Store
-	members        Members
-	snapshots      SnapshotSource
-	clock          catkinrun.Clock
-	log            logrus.FieldLogger
-	table          string
-	self           Owner
-	confirmStopped ConfirmStopped
-	wake           chan struct{} // an owner's process has ended
+	store     catkinrun.Store
+	members   Members
+	snapshots SnapshotSource
+	clock     catkinrun.Clock
+	log       logrus.FieldLogger
+	table     string
+	self      Owner
+	ask       Ask
+	wake      chan struct{} // an owner's process has ended
 
 	startedAt time.Time
 
@@ -103,9 +100,9 @@
 }
 
 // New returns a broker for the daemon that self describes. The assignment's row is in table.
-func New(store catkinrun.Store, members Members, snapshots SnapshotSource, clock catkinrun.Clock, log logrus.FieldLogger, table string, self Owner, confirmStopped ConfirmStopped) *Broker {
+func New(store catkinrun.Store, members Members, snapshots SnapshotSource, clock catkinrun.Clock, log logrus.FieldLogger, table string, self Owner, ask Ask) *Broker {
 	return &Broker{
-		store: store, members: members, snapshots: snapshots, clock: clock, log: log, table: table, self: self, confirmStopped: confirmStopped,
+		store: store, members: members, snapshots: snapshots, clock: clock, log: log, table: table, self: self, ask: ask,
 		wake: make(chan struct{}, 1), startedAt: clock.Now(), changed: make(chan struct{}), health: make(map[string]*ownerHealth),
 		supporters: make(map[string]*supporter), ledgers: make(map[int]*ledger), updatedAt: math.MinInt64,
 	}
--- a/broker/election.go
+++ b/broker/election.go
@@ -21,6 +21,9 @@
 	// unreadyTimeout is the additional time before an owner that responds but does not
 	// grant tokens is replaced.
 	unreadyTimeout = 5 * time.Second
+	// stopTimeout bounds the request to an earlier owner. It allows for two trips across a
+	// region.
+	stopTimeout = 300 * time.Millisecond
 	// pollInterval is the time between two checks of the owners.
 	pollInterval = 250 * time.Millisecond
 	// hostsPerOwner is the number of hosts for each owner, so that the token requests that one
@@ -284,6 +287,26 @@
 	}
 }
 
+// confirmStopped asks an earlier owner to stop granting the tokens of shards that the
+// assignment gives to this daemon. It returns the shards for which that is certain, because
+// the earlier owner's response confirms it or its process has ended, and the tokens that it
+// hands over.
+func (b *Broker) confirmStopped(ctx context.Context, earlier Owner, shards ShardSet, assignment Assignment) (stopped ShardSet, handover []Grant) {
+	if earlier.Host == b.self.Host {
+		return shards, nil // an earlier start of this daemon
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	response, err := b.ask(ctx, earlier, &TokenRequest{Host: b.self.Host, Generation: assignment.Generation, Assignment: &assignment})
+	switch {
+	case ProcessEnded(earlier, response, err):
+		return shards, nil
+	case err != nil || response.Generation < assignment.Generation:
+		return 0, nil
+	}
+	return shards.Without(response.Ready), response.Handover
+}
+
 // applyCurrent applies the row with which the store answered a failed precondition.
 func (b *Broker) applyCurrent(err error) {
 	var precondition *catkinrun.PreconditionError
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,7 +130,7 @@
 	d.locator = locator.New(d.log)
 	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self, time.Duration(drainServeFraction*float64(s.Times.Drain)))
 	d.broker = broker.New(store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
-		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.ownerStopped)
+		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
 	d.relayer = relayer.New(store, d.locator, d.askWatcher, d.log, self)
 	d.configuration = follower.New(d.relayer, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"time"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/broker"
@@ -48,26 +47,3 @@
 func (d *Daemon) askWatcher(ctx context.Context, watcher catkinrun.Member, request *relayer.Request) (*relayer.Response, error) {
 	return messenger.Call[relayer.Request, relayer.Response](ctx, d.peerClient, watcher.Peer, relayer.Procedure, request)
 }
-
-// ownerStopTimeout bounds the request to an earlier owner. It allows for two
-// trips across a region.
-const ownerStopTimeout = 300 * time.Millisecond
-
-// ownerStopped implements broker.ConfirmStopped.
-func (d *Daemon) ownerStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) (stopped broker.ShardSet, handover []broker.Grant) {
-	if earlier.Host == d.settings.Host {
-		return shards, nil // an earlier start of this daemon
-	}
-	ctx, cancel := context.WithTimeout(ctx, ownerStopTimeout)
-	defer cancel()
-	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{
-		Host: d.settings.Host, Generation: assignment.Generation, Assignment: &assignment,
-	})
-	switch {
-	case broker.ProcessEnded(earlier, response, err):
-		return shards, nil
-	case err != nil || response.Generation < assignment.Generation:
-		return 0, nil
-	}
-	return shards.Without(response.Ready), response.Handover
-}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -124,17 +124,6 @@
 	return response, err
 }
 
-func (h *liveHost) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) (stopped broker.ShardSet, handover []broker.Grant) {
-	response, err := h.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: h.name, Generation: assignment.Generation, Assignment: &assignment})
-	switch {
-	case broker.ProcessEnded(earlier, response, err):
-		return shards, nil
-	case err != nil || response.Generation < assignment.Generation:
-		return 0, nil
-	}
-	return shards.Without(response.Ready), response.Handover
-}
-
 func (f *liveFleet) host(name string) *liveHost {
 	for _, h := range f.hosts {
 		if h.name == name {
@@ -175,7 +164,7 @@
 	var members []catkinrun.Member
 	for i := range hosts {
 		h := &liveHost{fleet: f, name: fmt.Sprintf("host-%03d", i)}
-		h.broker = broker.New(f.store, f, snapshots, clock.System{}, log, ownerTable, broker.Owner{Host: h.name, Peer: h.name, Incarnation: h.name}, h.confirmStopped)
+		h.broker = broker.New(f.store, f, snapshots, clock.System{}, log, ownerTable, broker.Owner{Host: h.name, Peer: h.name, Incarnation: h.name}, h.RequestTokens)
 		h.limiter = limiter.New(snapshots, f, h, clock.System{}, log, h.name)
 		f.hosts = append(f.hosts, h)
 		members = append(members, catkinrun.Member{Host: h.name, Peer: h.name, Incarnation: h.name})
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -94,18 +94,6 @@
 	return nil, &catkinrun.NotFoundError{Kind: "host", Name: owner.Host}
 }
 
-// confirmStopped is a broker.ConfirmStopped like the one of package daemon.
-func (d *daemon) confirmStopped(ctx context.Context, earlier broker.Owner, shards broker.ShardSet, assignment broker.Assignment) (stopped broker.ShardSet, handover []broker.Grant) {
-	response, err := d.RequestTokens(ctx, earlier, &broker.TokenRequest{Host: d.name, Generation: assignment.Generation, Assignment: &assignment})
-	switch {
-	case broker.ProcessEnded(earlier, response, err):
-		return shards, nil
-	case err != nil || response.Generation < assignment.Generation:
-		return 0, nil
-	}
-	return shards.Without(response.Ready), response.Handover
-}
-
 func newFleet(t *rapid.T, count int) *fleet {
 	f := &fleet{clock: clock.NewFake(), store: &store{}}
 	log := logrus.New()
@@ -121,7 +109,7 @@
 		name := fmt.Sprintf("host-%03d", i)
 		f.members = append(f.members, catkinrun.Member{Host: name, Peer: name, Incarnation: name})
 		d := &daemon{fleet: f, name: name}
-		d.broker = broker.New(f.store, f, snapshots, f.clock, log, ownerTable, broker.Owner{Host: name, Peer: name, Incarnation: name}, d.confirmStopped)
+		d.broker = broker.New(f.store, f, snapshots, f.clock, log, ownerTable, broker.Owner{Host: name, Peer: name, Incarnation: name}, d.RequestTokens)
 		d.limiter = limiter.New(snapshots, f, d, f.clock, log, name)
 		f.daemons = append(f.daemons, d)
 	}
