--- a/broker/broker.go
+++ b/broker/broker.go
@@ -41,13 +41,12 @@
 )
 
 // LocalShare returns the fraction of each rate that one of count hosts may use while it is
-// out of touch with the owner.
+// out of touch with the owner, 0 if no hosts are known.
 func LocalShare(count int) float64 {
-	return localFraction(count) / float64(max(1, count))
-}
-
-func localFraction(count int) float64 {
-	return maxLocalFraction * min(1, localShareHosts/float64(max(1, count)))
+	if count == 0 {
+		return 0
+	}
+	return maxLocalFraction * min(1, localShareHosts/float64(count)) / float64(count)
 }
 
 // Members lists the hosts, sorted by name.
--- a/broker/election.go
+++ b/broker/election.go
@@ -36,7 +36,6 @@
 	owner        Owner
 	failingSince time.Time // since when the owner has not responded, zero if it responds
 	gone         bool      // its process has ended
-	ready        ShardSet  // shards of which it grants tokens
 	unreadySince time.Time // since when it has not been ready for all of its shards, zero if it is
 	granted      ShardSet  // shards of which it has granted tokens under the epochs in force
 }
@@ -57,12 +56,12 @@
 	now := b.clock.Now()
 	h.gone = ProcessEnded(owner, response, err)
 	trackSince(&h.failingSince, now, response == nil || h.gone)
-	h.ready = 0
+	var ready ShardSet
 	if response != nil && !h.gone && response.Generation == b.assignment.Generation {
-		h.ready = response.Ready
+		ready = response.Ready
 	}
-	h.granted |= h.ready & owned
-	trackSince(&h.unreadySince, now, owned.Without(h.ready) != 0)
+	h.granted |= ready & owned
+	trackSince(&h.unreadySince, now, owned.Without(ready) != 0)
 	if h.gone {
 		select {
 		case b.wake <- struct{}{}:
--- a/broker/votes.go
+++ b/broker/votes.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/catkinrun/catkinrun"
@@ -88,7 +89,7 @@
 func voters(hosts []string) [voterGroupCount][]string {
 	var groups [voterGroupCount][]string
 	for i := range groups {
-		order := catkinrun.RendezvousOrder(RowKey+"/voters/"+string(rune('0'+i)), hosts)
+		order := catkinrun.RendezvousOrder(RowKey+"/voters/"+strconv.Itoa(i), hosts)
 		groups[i] = order[:min(len(order), maxVoters)]
 	}
 	return groups
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -90,10 +90,7 @@
 	s, ok := l.servers[limits]
 	if !ok {
 		s = &limitedServer{address: l.net.Addr(), conns: make(chan net.Conn), ended: make(chan struct{})}
-		s.server = &http.Server{
-			Handler: l.server.Handler, ConnState: l.countOpen, ReadHeaderTimeout: limits.headerTimeout,
-			IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
-		}
+		s.server = l.newServer(l.server.Handler, limits)
 		l.servers[limits] = s
 		go s.run()
 	}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -24,8 +24,8 @@
 const (
 	// headerTimeout bounds the reading of a request's headers if the operator does not.
 	headerTimeout = 10 * time.Second
-	// listenerIdleTimeout closes idle connections if the operator does not. It is above the idle timeouts that are
-	// stated to callers, so that callers close first.
+	// listenerIdleTimeout closes idle connections if the operator does not. It is above the
+	// idle timeouts that are stated to callers, so that callers close first.
 	listenerIdleTimeout = 75 * time.Second
 	// maxHeaderBytes bounds the headers of a request if the operator does not.
 	maxHeaderBytes = 64 << 10
@@ -56,6 +56,13 @@
 // because callers that try again open a new connection each time and leave the old one open.
 const filesPerConn = 8
 
+// newServer returns a server for the listener's connections.
+func (l *listener) newServer(handler http.Handler, limits connLimits) *http.Server {
+	return &http.Server{
+		Handler: handler, ConnState: l.countOpen, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
+	}
+}
+
 // countOpen counts the open connections.
 func (l *listener) countOpen(_ net.Conn, state http.ConnState) {
 	switch state {
@@ -116,9 +123,7 @@
 			return &ListenError{Name: "listen." + s.name, Cause: err}
 		}
 		l := &listener{name: s.name, net: socket}
-		l.server = &http.Server{
-			Handler: d.closeAfterResponse(l, s.handler), ConnState: l.countOpen, ReadHeaderTimeout: headerTimeout, IdleTimeout: listenerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}
+		l.server = l.newServer(d.closeAfterResponse(l, s.handler), connLimitsOf(catkinrun.Limits{}))
 		d.listeners = append(d.listeners, l)
 		if s.name == "caller" {
 			d.services = append(d.services, newLimitedListener(l, d.declaredLimits))
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -224,6 +224,17 @@
 	}
 }
 
+// startLoads begins a load of each team at a rate. The caller waits for the ends.
+func (f *liveFleet) startLoads(ctx context.Context, seed uint64, perSecond float64, hosts []*liveHost, duration time.Duration) *sync.WaitGroup {
+	random := rand.New(rand.NewPCG(1, seed))
+	var loads sync.WaitGroup
+	for i := range f.teams {
+		team := rand.New(rand.NewPCG(2, random.Uint64()))
+		loads.Go(func() { f.load(ctx, team, teamNames(i), perSecond, hosts, duration) })
+	}
+	return &loads
+}
+
 // requireRefusedBelow fails the test if more than a percentage of the requests since the last
 // call were refused.
 func (f *liveFleet) requireRefusedBelow(t *testing.T, percent float64) {
@@ -266,13 +277,7 @@
 func TestThinDemandAcrossManyHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 100, sameTeams(90, 7))
-		random := rand.New(rand.NewPCG(1, 1))
-		var loads sync.WaitGroup
-		for i := range f.teams {
-			team := rand.New(rand.NewPCG(2, random.Uint64()))
-			loads.Go(func() { f.load(t.Context(), team, teamNames(i), 0.62*7, f.hosts, 10*time.Second) })
-		}
-		loads.Wait()
+		f.startLoads(t.Context(), 1, 0.62*7, f.hosts, 10*time.Second).Wait()
 		f.requireRefusedBelow(t, 2)
 		f.checkBound(t)
 	})
@@ -331,19 +336,13 @@
 		f := startFleet(t, 100, sameTeams(20, 30))
 		f.owner(teamNames(0)).cut.Store(true)
 		time.Sleep(3 * time.Second)
-		random := rand.New(rand.NewPCG(1, 3))
-		var loads sync.WaitGroup
 		var reachable []*liveHost
 		for _, h := range f.hosts {
 			if !h.cut.Load() {
 				reachable = append(reachable, h)
 			}
 		}
-		for i := range f.teams {
-			team := rand.New(rand.NewPCG(2, random.Uint64()))
-			loads.Go(func() { f.load(t.Context(), team, teamNames(i), 0.62*30, reachable, 3*time.Second) })
-		}
-		loads.Wait()
+		f.startLoads(t.Context(), 3, 0.62*30, reachable, 3*time.Second).Wait()
 		f.requireRefusedBelow(t, 2)
 	})
 }
@@ -353,12 +352,7 @@
 func TestBoundHoldsWhileHostsAreCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 30, sameTeams(4, 40))
-		random := rand.New(rand.NewPCG(1, 4))
-		var loads sync.WaitGroup
-		for i := range f.teams {
-			team := rand.New(rand.NewPCG(2, random.Uint64()))
-			loads.Go(func() { f.load(t.Context(), team, teamNames(i), 8*40, f.hosts, 25*time.Second) })
-		}
+		loads := f.startLoads(t.Context(), 4, 8*40, f.hosts, 25*time.Second)
 		time.Sleep(6 * time.Second)
 		for _, h := range f.hosts[:5] {
 			h.cut.Store(true)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -197,10 +197,7 @@
 }
 
 func (l *Limiter) takeLocalLocked(b *bucket, team catkinrun.Team, count int, now, ceded time.Time) bool {
-	share := 0.0
-	if count > 0 {
-		share = broker.LocalShare(count)
-	}
+	share := broker.LocalShare(count)
 	b.refillLocal(now, ceded, share*team.Rate, share*team.Burst)
 	return b.takeLocal(min(1, maxOverdraft/float64(max(1, count))))
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,6 +8,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -240,6 +241,6 @@
 			response.Rows = append(response.Rows, row)
 		}
 	}
-	slices.SortFunc(response.Rows, func(a, b catkinrun.Row) int { return int(a.Revision) - int(b.Revision) })
+	slices.SortFunc(response.Rows, func(a, b catkinrun.Row) int { return cmp.Compare(a.Revision, b.Revision) })
 	return response, t.changed
 }
--- a/router/router.go
+++ b/router/router.go
@@ -141,14 +141,15 @@
 	return r.lastResortLocked(candidates, c.Tried)
 }
 
-// splitByZone returns the members in a zone and those in the others.
-func splitByZone(members []catkinrun.Member, zone string) (near, far []catkinrun.Member) {
-	near, far = make([]catkinrun.Member, 0, len(members)), make([]catkinrun.Member, 0, len(members))
-	for _, m := range members {
-		if m.Zone == zone {
-			near = append(near, m)
+// splitByZone returns the members in a zone and those in the others, without copying them: it
+// runs for each attempt of a request.
+func splitByZone(members []catkinrun.Member, zone string) (near, far []*catkinrun.Member) {
+	near, far = make([]*catkinrun.Member, 0, len(members)), make([]*catkinrun.Member, 0, len(members))
+	for i := range members {
+		if members[i].Zone == zone {
+			near = append(near, &members[i])
 		} else {
-			far = append(far, m)
+			far = append(far, &members[i])
 		}
 	}
 	return near, far
@@ -156,13 +157,13 @@
 
 // compareLocked scores up to count random members that can be chosen, and replaces choice by
 // the best of them if it is better. It returns how many it has scored, and changes the order
-// of the members.
-func (r *Router) compareLocked(choice *Choice, members []catkinrun.Member, count int, c Criteria, now time.Time) int {
+// of the list.
+func (r *Router) compareLocked(choice *Choice, members []*catkinrun.Member, count int, c Criteria, now time.Time) int {
 	compared := 0
 	for i := 0; i < len(members) && compared < count; i++ {
 		j := i + int(r.random()*float64(len(members)-i))
 		members[i], members[j] = members[j], members[i]
-		m := members[i]
+		m := *members[i]
 		if slices.Contains(c.Tried, m.Host) {
 			continue
 		}
