Rates: the row names the former owners, so that a restart of all processes costs no wait

The daemon that starts again on the owner's host cannot know whether its earlier start had granted tokens, and waited a second. Change: each shard's entry names the earlier owners that may still grant tokens; the owner asks them all to stop, at each poll until it grants tokens. Earlier starts on the same host have ended.

--- a/broker/assignment.go
+++ b/broker/assignment.go
@@ -61,8 +61,9 @@
 
 // ShardOwner names the owner of one shard.
 type ShardOwner struct {
-	Owner int    `json:"owner" cbor:"owner"` // index into the owners of the assignment
-	Epoch uint64 `json:"epoch" cbor:"epoch"` // generation in which it became the owner
+	Owner  int    `json:"owner" cbor:"owner"`                       // index into the owners of the assignment
+	Epoch  uint64 `json:"epoch" cbor:"epoch"`                       // generation in which it became the owner
+	Former []int  `json:"former,omitempty" cbor:"former,omitempty"` // indexes of earlier owners that may still have granted tokens then
 }
 
 // Assignment names the owner of each shard. The zero value assigns none. Values are not
@@ -70,6 +71,7 @@
 type Assignment struct {
 	Generation uint64       `json:"generation" cbor:"generation"` // rises by one with each change
 	Owners     []Owner      `json:"owners" cbor:"owners"`
+	Former     []Owner      `json:"former,omitempty" cbor:"former,omitempty"`
 	Shards     []ShardOwner `json:"shards" cbor:"shards"` // by shard
 }
 
@@ -79,7 +81,8 @@
 		return &catkinrun.InvalidError{Where: "assignment", Field: "shards", Reason: "expected a generation and " + strconv.Itoa(ShardCount) + " shards"}
 	}
 	for _, s := range a.Shards {
-		if s.Owner < 0 || s.Owner >= len(a.Owners) || s.Epoch > a.Generation {
+		isUnknown := func(former int) bool { return former < 0 || former >= len(a.Former) }
+		if s.Owner < 0 || s.Owner >= len(a.Owners) || s.Epoch > a.Generation || slices.ContainsFunc(s.Former, isUnknown) {
 			return &catkinrun.InvalidError{Where: "assignment", Field: "shards", Reason: "unknown owner or epoch"}
 		}
 	}
@@ -113,21 +116,81 @@
 	return owned
 }
 
+// FormerOf returns the shards of which a daemon may still have granted tokens when their
+// present owner was assigned.
+func (a Assignment) FormerOf(owner Owner) ShardSet {
+	var shards ShardSet
+	for shard, s := range a.Shards {
+		if slices.ContainsFunc(s.Former, func(former int) bool { return a.Former[former] == owner }) {
+			shards = shards.With(shard)
+		}
+	}
+	return shards
+}
+
 // WithOwner returns the next generation, in which a daemon owns the given shards too. Owners
-// that are left without a shard are removed.
-func (a Assignment) WithOwner(shards ShardSet, owner Owner) Assignment {
+// that are left without a shard are removed. granted has the shards whose present owners are
+// known to have granted tokens, which proves that their own former owners had stopped.
+func (a Assignment) WithOwner(shards ShardSet, owner Owner, granted ShardSet) Assignment {
 	next := Assignment{Generation: a.Generation + 1}
 	for shard := range ShardCount {
-		shardOwner, epoch := owner, next.Generation
-		if !shards.Has(shard) && a.Generation > 0 {
-			shardOwner, epoch = a.Owners[a.Shards[shard].Owner], a.Shards[shard].Epoch
+		present, _ := a.Owner(shard)
+		former := a.formerOwners(shard)
+		if !shards.Has(shard) {
+			next.add(present, a.Epoch(shard), former)
+			continue
 		}
-		index := slices.Index(next.Owners, shardOwner)
-		if index < 0 {
-			index = len(next.Owners)
-			next.Owners = append(next.Owners, shardOwner)
+		if granted.Has(shard) {
+			former = nil
 		}
-		next.Shards = append(next.Shards, ShardOwner{Owner: index, Epoch: epoch})
+		next.add(owner, next.Generation, withoutHost(append(withoutHost(former, present.Host), present), owner.Host))
 	}
 	return next
 }
+
+// NewAssignment returns the first generation, in which one daemon owns all shards. former are
+// daemons that may still grant tokens.
+func NewAssignment(owner Owner, former ...Owner) Assignment {
+	first := Assignment{Generation: 1}
+	for range ShardCount {
+		first.add(owner, first.Generation, former)
+	}
+	return first
+}
+
+// add appends the entry of the next shard to an assignment that is being built.
+func (a *Assignment) add(owner Owner, epoch uint64, former []Owner) {
+	entry := ShardOwner{Epoch: epoch}
+	a.Owners, entry.Owner = indexOwner(a.Owners, owner)
+	for _, f := range former {
+		var index int
+		a.Former, index = indexOwner(a.Former, f)
+		entry.Former = append(entry.Former, index)
+	}
+	a.Shards = append(a.Shards, entry)
+}
+
+func (a Assignment) formerOwners(shard int) []Owner {
+	if a.Generation == 0 {
+		return nil
+	}
+	var owners []Owner
+	for _, former := range a.Shards[shard].Former {
+		owners = append(owners, a.Former[former])
+	}
+	return owners
+}
+
+// withoutHost returns the owners on other hosts. The earlier starts of a host's daemon have
+// certainly ended.
+func withoutHost(owners []Owner, host string) []Owner {
+	return slices.DeleteFunc(owners, func(o Owner) bool { return o.Host == host })
+}
+
+// indexOwner returns the index of an owner in a list, to which it is added if it is new.
+func indexOwner(list []Owner, owner Owner) ([]Owner, int) {
+	if i := slices.Index(list, owner); i >= 0 {
+		return list, i
+	}
+	return append(list, owner), len(list)
+}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -87,15 +87,15 @@
 	health     map[string]*ownerHealth // by host
 
 	// As an owner.
-	supporters     map[string]*supporter // by host
-	ledgers        map[int]*ledger       // of the shards whose tokens are granted
-	ready          ShardSet              // shards whose tokens are granted
-	earlierStopped ShardSet              // all earlier owners of these have certainly stopped granting tokens
-	retired        map[int]*ledger       // of shards that this daemon has lost to another in this generation
-	handedOver     map[string]int        // by team: tokens received from the earlier owner
-	hosts          []string
-	voters         [voterGroupCount][]string
-	updatedAt      time.Duration
+	supporters  map[string]*supporter // by host
+	ledgers     map[int]*ledger       // of the shards whose tokens are granted
+	ready       ShardSet              // shards whose tokens are granted
+	unconfirmed map[Owner]ShardSet    // by former owner: own shards of which it may still grant tokens
+	retired     map[int]*ledger       // of shards that this daemon has lost to another in this generation
+	handedOver  map[string]int        // by team: tokens received from the former owner
+	hosts       []string
+	voters      [voterGroupCount][]string
+	updatedAt   time.Duration
 }
 
 // New returns a broker for the daemon that self describes. The assignment's row is in table.
@@ -103,7 +103,7 @@
 	return &Broker{
 		store: store, members: members, snapshots: snapshots, clock: clock, log: log, table: table, self: self, ask: ask,
 		wake: make(chan struct{}, 1), startedAt: clock.Now(), changed: make(chan struct{}), health: make(map[string]*ownerHealth),
-		supporters: make(map[string]*supporter), ledgers: make(map[int]*ledger), updatedAt: math.MinInt64,
+		supporters: make(map[string]*supporter), ledgers: make(map[int]*ledger), unconfirmed: make(map[Owner]ShardSet), updatedAt: math.MinInt64,
 	}
 }
 
@@ -166,7 +166,8 @@
 	}
 	b.assignment = assignment
 	b.superseded = false
-	b.earlierStopped = b.earlierStopped.Without(reassigned)
+	b.ready = b.ready.Without(reassigned)
+	b.updateUnconfirmedLocked(reassigned)
 	b.forgetEpochsLocked(reassigned)
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -177,6 +178,18 @@
 	b.log.WithFields(logrus.Fields{"owners": hosts, "generation": assignment.Generation}).Info("broker: owners changed")
 }
 
+// updateUnconfirmedLocked adds the former owners of shards that this daemon has got, and
+// removes the shards that it has lost.
+func (b *Broker) updateUnconfirmedLocked(reassigned ShardSet) {
+	owned := b.assignment.OwnedBy(b.self)
+	for owner, shards := range b.unconfirmed {
+		b.unconfirmed[owner] = shards & owned & ^reassigned
+	}
+	for _, owner := range b.assignment.Former {
+		b.unconfirmed[owner] |= b.assignment.FormerOf(owner) & owned & reassigned
+	}
+}
+
 // Assignment returns the assignment in force and a channel that is closed when it changes.
 func (b *Broker) Assignment() (assignment Assignment, changed <-chan struct{}) {
 	b.mu.Lock()
--- a/broker/election.go
+++ b/broker/election.go
@@ -127,7 +127,8 @@
 	}
 }
 
-// Poll claims the shards whose owner this daemon should replace, if there are any.
+// Poll claims the shards whose owner this daemon should replace, if there are any, and asks
+// the former owners of its shards to stop.
 func (b *Broker) Poll(ctx context.Context) {
 	members := b.members.Members()
 	b.mu.Lock()
@@ -136,6 +137,7 @@
 	if shards != 0 {
 		b.claim(ctx, shards)
 	}
+	b.confirmFormerOwners(ctx)
 }
 
 // shardsToClaimLocked returns the shards that this daemon should own instead of their present
@@ -251,13 +253,8 @@
 // claim makes this daemon the owner of shards.
 func (b *Broker) claim(ctx context.Context, shards ShardSet) {
 	b.mu.Lock()
-	earlier, revision := b.assignment, b.revision
-	granted := make(map[Owner]ShardSet)
-	for _, h := range b.health {
-		granted[h.owner] = h.granted
-	}
+	next, revision := b.nextAssignmentLocked(shards), b.revision
 	b.mu.Unlock()
-	next := earlier.WithOwner(shards, b.self)
 	value, err := json.Marshal(next)
 	if err != nil {
 		b.log.WithError(err).Error("broker: cannot encode the assignment of owners")
@@ -273,37 +270,57 @@
 		return
 	}
 	b.applyRow(catkinrun.Row{Key: RowKey, Value: value, Revision: page.Revision})
-	if earlier.Generation == 0 && revision == 0 {
-		b.recordStopped(next, shards, nil)
-		return
+}
+
+// nextAssignmentLocked returns the assignment with which this daemon claims shards.
+func (b *Broker) nextAssignmentLocked(shards ShardSet) Assignment {
+	switch {
+	case b.assignment.Generation == 0 && b.revision == 0:
+		return NewAssignment(b.self)
+	case b.assignment.Generation == 0:
+		return NewAssignment(b.self, Owner{}) // the row cannot be decoded, so that nobody can confirm
 	}
-	for _, owner := range earlier.Owners {
-		// Only an owner that granted tokens proves that those before it had stopped.
-		if lost := earlier.OwnedBy(owner) & shards & granted[owner]; lost != 0 {
-			stopped, handover := b.confirmStopped(ctx, owner, lost, next)
-			b.recordStopped(next, stopped, handover)
-		}
+	var granted ShardSet
+	for _, h := range b.health {
+		granted |= h.granted & b.assignment.OwnedBy(h.owner)
 	}
+	return b.assignment.WithOwner(shards, b.self, granted)
 }
 
-// confirmStopped asks an earlier owner to stop granting the tokens of shards that the
-// assignment gives to this daemon. It returns the shards for which that is certain, because
-// the earlier owner's response confirms it or its process has ended, and the tokens that it
-// hands over.
-func (b *Broker) confirmStopped(ctx context.Context, earlier Owner, shards ShardSet, assignment Assignment) (stopped ShardSet, handover []Grant) {
-	if earlier.Host == b.self.Host {
-		return shards, nil // an earlier start of this daemon
+// confirmFormerOwners asks the former owners of this daemon's shards to stop granting tokens,
+// until it is certain that they have stopped or the wait for their votes to expire is over.
+func (b *Broker) confirmFormerOwners(ctx context.Context) {
+	b.mu.Lock()
+	assignment := b.assignment
+	var former []Owner
+	for owner, shards := range b.unconfirmed {
+		if shards.Without(b.ready) == 0 {
+			delete(b.unconfirmed, owner)
+			continue
+		}
+		former = append(former, owner)
 	}
+	b.mu.Unlock()
+	for _, owner := range former {
+		stopped, handover := b.confirmStopped(ctx, owner, assignment)
+		b.recordStopped(owner, assignment, stopped, handover)
+	}
+}
+
+// confirmStopped asks a former owner to stop granting tokens of the shards that the assignment
+// gives to this daemon. It returns the shards for which that is certain, because the former
+// owner's response confirms it or its process has ended, and the tokens that it hands over.
+func (b *Broker) confirmStopped(ctx context.Context, former Owner, assignment Assignment) (stopped ShardSet, handover []Grant) {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	response, err := b.ask(ctx, earlier, &TokenRequest{Host: b.self.Host, Generation: assignment.Generation, Assignment: &assignment})
+	response, err := b.ask(ctx, former, &TokenRequest{Host: b.self.Host, Generation: assignment.Generation, Assignment: &assignment})
 	switch {
-	case ProcessEnded(earlier, response, err):
-		return shards, nil
+	case ProcessEnded(former, response, err):
+		return allShards, nil
 	case err != nil || response.Generation < assignment.Generation:
 		return 0, nil
 	}
-	return shards.Without(response.Ready), response.Handover
+	return allShards.Without(response.Ready), response.Handover
 }
 
 // applyCurrent applies the row with which the store answered a failed precondition.
@@ -321,18 +338,18 @@
 	b.revision = 0 // the row has been removed
 }
 
-// recordStopped records shards of whose tokens all earlier owners have stopped granting, and
-// the tokens that they have handed over.
-func (b *Broker) recordStopped(assignment Assignment, shards ShardSet, handover []Grant) {
+// recordStopped records the shards of which a former owner has stopped granting tokens, and
+// the tokens that it has handed over.
+func (b *Broker) recordStopped(former Owner, assignment Assignment, stopped ShardSet, handover []Grant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.assignment.Generation != assignment.Generation {
 		return
 	}
-	b.earlierStopped |= shards
 	for _, grant := range handover {
-		if shards.Has(ShardOf(grant.Team)) {
+		if shard := ShardOf(grant.Team); stopped.Has(shard) && b.unconfirmed[former].Has(shard) {
 			b.handedOver[grant.Team] = grant.Tokens
 		}
 	}
+	b.unconfirmed[former] = b.unconfirmed[former].Without(stopped)
 }
--- a/broker/granting.go
+++ b/broker/granting.go
@@ -62,7 +62,7 @@
 }
 
 // openLedgerLocked returns the ledger with which this daemon begins to grant the tokens of a
-// shard. It holds what the earlier owner has handed over.
+// shard. It holds what the former owner has handed over.
 func (b *Broker) openLedgerLocked(shard int, now time.Duration) *ledger {
 	l := newLedger(now, b.availableLocked(now, now))
 	for team, tokens := range b.handedOver {
@@ -146,14 +146,17 @@
 	if b.resigned || b.superseded {
 		owned = 0
 	}
-	var ready ShardSet
+	var ready, unconfirmed ShardSet
+	for _, shards := range b.unconfirmed {
+		unconfirmed |= shards
+	}
 	majorities := make(map[majority]bool)
 	for shard := range ShardCount {
 		if !owned.Has(shard) {
 			delete(b.ledgers, shard)
 			continue
 		}
-		m := majority{group: voterGroup(shard), epoch: b.assignment.Epoch(shard), earlierStopped: b.earlierStopped.Has(shard)}
+		m := majority{group: voterGroup(shard), epoch: b.assignment.Epoch(shard), formerStopped: !unconfirmed.Has(shard)}
 		supported, known := majorities[m]
 		if !known {
 			supported = b.hasMajorityLocked(m, now)
@@ -176,20 +179,20 @@
 // majority describes the support that shards need; shards with the same description have it
 // together.
 type majority struct {
-	group          int
-	epoch          uint64
-	earlierStopped bool
+	group         int
+	epoch         uint64
+	formerStopped bool // all former owners have certainly stopped granting tokens
 }
 
 // hasMajorityLocked reports whether a majority of a group of voters supports this owner. A
-// voter that has known the epoch for less than VoteTTL may still count for an earlier owner,
+// voter that has known the epoch for less than VoteTTL may still count for a former owner,
 // unless all of those have certainly stopped.
 func (b *Broker) hasMajorityLocked(m majority, now time.Duration) bool {
 	hosts := b.voters[m.group]
 	count := 0
 	for _, host := range hosts {
 		s, ok := b.supporters[host]
-		if ok && s.votesFor(m.epoch, now) && (m.earlierStopped || s.settledIn(m.epoch, now)) {
+		if ok && s.votesFor(m.epoch, now) && (m.formerStopped || s.settledIn(m.epoch, now)) {
 			count++
 		}
 	}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -26,25 +26,34 @@
 // A liveFleet runs the real goroutines of many daemons in the fake time of a synctest bubble.
 // Messages take time, so that token requests overlap as they do between hosts.
 type liveFleet struct {
-	hosts    []*liveHost
-	members  atomic.Pointer[[]catkinrun.Member]
-	teams    []catkinrun.Team
-	store    *liveStore
-	patience limiter.Patience
+	hosts     []*liveHost
+	members   atomic.Pointer[[]catkinrun.Member]
+	teams     []catkinrun.Team
+	snapshots *configurer.Configurer
+	log       *logrus.Logger
+	store     *liveStore
+	patience  limiter.Patience
 
 	served, refused atomic.Int64
 	mu              sync.Mutex
 	servedAt        map[string][]time.Time // by team
 }
 
-// liveHost is one daemon.
+// liveHost is a host, on which a daemon may be started again.
 type liveHost struct {
 	fleet   *liveFleet
 	name    string
-	broker  *broker.Broker
-	limiter *limiter.Limiter
+	starts  int
+	current atomic.Pointer[liveDaemon]
 	crashed atomic.Bool // the process has ended
 	cut     atomic.Bool // from the store and all other daemons
+}
+
+// liveDaemon is one start of a host's daemon.
+type liveDaemon struct {
+	host    *liveHost
+	broker  *broker.Broker
+	limiter *limiter.Limiter
 	end     context.CancelFunc
 }
 
@@ -76,8 +85,8 @@
 	row := s.row
 	time.AfterFunc(storeDelay, func() {
 		for _, h := range s.fleet.hosts {
-			if !h.cut.Load() {
-				h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{row}}, false)
+			if !h.cut.Load() && !h.crashed.Load() {
+				h.current.Load().broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{row}}, false)
 			}
 		}
 	})
@@ -87,31 +96,48 @@
 func (f *liveFleet) Members() []catkinrun.Member { return *f.members.Load() }
 func (f *liveFleet) Count() int                  { return len(f.Members()) }
 
-// leave publishes that a host is leaving; its daemon goes on.
-func (f *liveFleet) leave(h *liveHost) {
+// list returns all rows of the table.
+func (s *liveStore) list() catkinrun.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.row.Revision == 0 {
+		return catkinrun.Page{}
+	}
+	return catkinrun.Page{Rows: []catkinrun.Row{s.row}, Revision: s.row.Revision}
+}
+
+// publish changes the member row of a host.
+func (f *liveFleet) publish(name string, change func(m *catkinrun.Member)) {
 	members := slices.Clone(f.Members())
-	for i, m := range members {
-		members[i].Leaving = m.Leaving || m.Host == h.name
+	for i := range members {
+		if members[i].Host == name {
+			change(&members[i])
+		}
 	}
 	f.members.Store(&members)
 }
 
-func (h *liveHost) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
-	return h.broker.Assignment()
+// leave publishes that a host is leaving; its daemon goes on.
+func (f *liveFleet) leave(h *liveHost) {
+	f.publish(h.name, func(m *catkinrun.Member) { m.Leaving = true })
+}
+
+func (d *liveDaemon) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
+	return d.broker.Assignment()
 }
 
-func (h *liveHost) RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error) {
-	h.broker.RecordResponse(owner, response, err)
+func (d *liveDaemon) RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error) {
+	d.broker.RecordResponse(owner, response, err)
 }
 
-func (h *liveHost) Standing() (votes, isVoter bool) { return h.broker.Standing() }
+func (d *liveDaemon) Standing() (votes, isVoter bool) { return d.broker.Standing() }
 
-func (h *liveHost) RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error) {
-	to := h.fleet.host(owner.Host)
-	if to == h {
-		return h.broker.GrantTokens(ctx, request)
+func (d *liveDaemon) RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error) {
+	to := d.host.fleet.host(owner.Host)
+	if to == d.host {
+		return d.broker.GrantTokens(ctx, request)
 	}
-	if h.cut.Load() || to.cut.Load() {
+	if d.host.cut.Load() || to.cut.Load() {
 		time.Sleep(callTimeout)
 		return nil, context.DeadlineExceeded
 	}
@@ -119,7 +145,7 @@
 	if to.crashed.Load() {
 		return nil, syscall.ECONNREFUSED
 	}
-	response, err := to.broker.GrantTokens(ctx, request)
+	response, err := to.current.Load().broker.GrantTokens(ctx, request)
 	time.Sleep(networkDelay)
 	return response, err
 }
@@ -139,7 +165,7 @@
 		if h.crashed.Load() || h.cut.Load() {
 			continue
 		}
-		assignment, _ := h.broker.Assignment()
+		assignment, _ := h.current.Load().broker.Assignment()
 		if owner, ok := assignment.Owner(broker.ShardOf(team)); ok {
 			return f.host(owner.Host)
 		}
@@ -152,34 +178,28 @@
 	t.Helper()
 	f := &liveFleet{teams: teams, patience: defaultPatience, servedAt: make(map[string][]time.Time)}
 	f.store = &liveStore{fleet: f}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	snapshots := configurer.New(clock.System{}, log)
+	f.log = logrus.New()
+	f.log.SetOutput(io.Discard)
+	f.snapshots = configurer.New(clock.System{}, f.log)
 	var resources []catkinrun.Resource
 	for i := range teams {
 		resources = append(resources, catkinrun.Resource{Kind: catkinrun.KindTeam, Name: teamNames(i), Team: &teams[i]})
 	}
-	_, err := snapshots.Apply(catkinrun.SnapshotData{Version: 1, Resources: resources}, "test")
+	_, err := f.snapshots.Apply(catkinrun.SnapshotData{Version: 1, Resources: resources}, "test")
 	is.New(t).NoErr(err)
 	var members []catkinrun.Member
 	for i := range hosts {
 		h := &liveHost{fleet: f, name: fmt.Sprintf("host-%03d", i)}
-		h.broker = broker.New(f.store, f, snapshots, clock.System{}, log, ownerTable, broker.Owner{Host: h.name, Peer: h.name, Incarnation: h.name}, h.RequestTokens)
-		h.limiter = limiter.New(snapshots, f, h, clock.System{}, log, h.name)
 		f.hosts = append(f.hosts, h)
-		members = append(members, catkinrun.Member{Host: h.name, Peer: h.name, Incarnation: h.name})
+		members = append(members, catkinrun.Member{Host: h.name, Peer: h.name})
 	}
 	f.members.Store(&members)
 	for _, h := range f.hosts {
-		h.broker.Apply(catkinrun.Page{}, true)
-		ctx, cancel := context.WithCancel(t.Context())
-		h.end = cancel
-		go func() { _ = h.broker.Serve(ctx) }()
-		go func() { _ = h.limiter.Serve(ctx) }()
+		h.start(t.Context())
 	}
 	t.Cleanup(func() {
 		for _, h := range f.hosts {
-			h.end()
+			h.current.Load().end()
 		}
 		synctest.Wait()
 		time.Sleep(settleTime) // messages that are on their way end
@@ -190,9 +210,26 @@
 
 func teamNames(i int) string { return fmt.Sprint("team-", i) }
 
+// start starts the host's daemon, which reads the store first.
+func (h *liveHost) start(ctx context.Context) {
+	h.starts++
+	f, system := h.fleet, clock.System{}
+	incarnation := fmt.Sprint(h.name, "-", h.starts)
+	f.publish(h.name, func(m *catkinrun.Member) { m.Incarnation = incarnation })
+	ctx, cancel := context.WithCancel(ctx)
+	d := &liveDaemon{host: h, end: cancel}
+	d.broker = broker.New(f.store, f, f.snapshots, system, f.log, ownerTable, broker.Owner{Host: h.name, Peer: h.name, Incarnation: incarnation}, d.RequestTokens)
+	d.limiter = limiter.New(f.snapshots, f, d, system, f.log, h.name)
+	d.broker.Apply(f.store.list(), true)
+	h.current.Store(d)
+	h.crashed.Store(false)
+	go func() { _ = d.broker.Serve(ctx) }()
+	go func() { _ = d.limiter.Serve(ctx) }()
+}
+
 func (h *liveHost) crash() {
 	h.crashed.Store(true)
-	h.end()
+	h.current.Load().end()
 }
 
 // defaultPatience is that of a route with an objective of 2 s.
@@ -200,7 +237,7 @@
 
 // request sends a request of a team through a host.
 func (h *liveHost) request(ctx context.Context, team string) {
-	if h.limiter.Take(ctx, team, h.fleet.patience) != nil {
+	if h.current.Load().limiter.Take(ctx, team, h.fleet.patience) != nil {
 		h.fleet.refused.Add(1)
 		return
 	}
@@ -329,6 +366,25 @@
 	})
 }
 
+// TestAllProcessesRestart ends all processes at one moment and starts them again within half
+// a second. The daemon on the owner's host takes over at once, and requests wait for it.
+func TestAllProcessesRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 13, sameTeams(8, 100))
+		for _, h := range f.hosts {
+			h.crash()
+		}
+		random := rand.New(rand.NewPCG(1, 6))
+		for _, i := range random.Perm(len(f.hosts)) {
+			time.Sleep(500 * time.Millisecond / 13)
+			f.hosts[i].start(t.Context())
+		}
+		f.startLoads(t.Context(), 7, 60, f.hosts, 2*time.Second).Wait()
+		f.requireRefusedBelow(t, 5)
+		f.checkBound(t)
+	})
+}
+
 // TestOwnerCutOffIsReplaced cuts the owner off without a sign to the other hosts, and checks
 // that teams are served within their rates three seconds later.
 func TestOwnerCutOffIsReplaced(t *testing.T) {
@@ -361,7 +417,7 @@
 		time.Sleep(6 * time.Second)
 		for _, h := range f.hosts {
 			h.cut.Store(false)
-			h.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}}, true)
+			h.current.Load().broker.Apply(f.store.list(), true)
 		}
 		time.Sleep(4 * time.Second)
 		f.owner(teamNames(1)).crash()
--- a/spec/rates.pml
+++ b/spec/rates.pml
@@ -5,8 +5,10 @@
  * response, and is a vote for that owner until the vote TTL after the stamp, however long
  * the network delays it. Owner 1 grants tokens while a majority of votes is valid. A later
  * owner counts only voters from which it first heard more than the vote TTL ago, unless
- * all owners before it have certainly stopped: its direct predecessor has confirmed so, and
- * had granted tokens, which proves that those before it had stopped. An epoch reaches each
+ * all owners before it have certainly stopped. The row of each epoch names its former owners,
+ * which may still grant tokens: the direct predecessor, and the predecessor's former owners
+ * unless the claimer has seen that the predecessor granted tokens, which proves that those
+ * had stopped. Each former owner has to confirm that it stopped. An epoch reaches each
  * voter separately, at any time or never. A voter never returns to an earlier epoch: one that
  * restarts reads the store before it votes. The loss of a message needs no step of its own,
  * since a message may also stay in flight until it is worthless.
@@ -17,7 +19,7 @@
  *   NO_MAJORITY  one valid vote suffices
  *   GO_BACK      a voter that restarts may learn an earlier epoch from another daemon
  *   NO_RESIGN    an owner grants tokens even after it has confirmed that it stopped
- *   NO_CHAIN     a confirmation suffices, even of an owner that never granted tokens
+ *   NO_CHAIN     the row names the direct predecessor alone
  *   NO_ECHO      a vote is valid for the vote TTL after its arrival
  */
 #define VOTERS 3
@@ -36,20 +38,24 @@
 byte sent_to[VOTERS];         /* owner to which it was sent */
 byte votes[9];                /* by owner and voter: ticks until the vote expires, 0 without one */
 byte heard[9];                /* by owner and voter: ticks since the first request, up to VOTE_TTL + 1; 0 without one */
-bool stopped[OWNERS];         /* the owner has confirmed that it stopped */
-bool granted[OWNERS];         /* the owner has granted tokens */
-bool earlier_stopped[OWNERS]; /* the owner knows that all owners before it have stopped */
+bool second_granted;          /* the second owner has granted tokens */
+bool has_former;              /* the row of the third owner names the first as a former owner */
+bool first_to_second;         /* the first owner has confirmed to the second that it stopped */
+bool first_to_third;
+bool second_to_third;
 
 #ifdef NO_WAIT
 #define SETTLED(owner, voter) true
 #else
-#define SETTLED(owner, voter) ((owner) == 0 || earlier_stopped[owner] || heard[AT(owner, voter)] > VOTE_TTL)
+#define EARLIER_STOPPED(owner) ((owner) == 1 && first_to_second || \
+  (owner) == 2 && second_to_third && (first_to_third || !has_former))
+#define SETTLED(owner, voter) ((owner) == 0 || EARLIER_STOPPED(owner) || heard[AT(owner, voter)] > VOTE_TTL)
 #endif
 #define COUNTS(owner, voter) (votes[AT(owner, voter)] > 0 && SETTLED(owner, voter))
 #ifdef NO_RESIGN
 #define MAY_GRANT(owner) true
 #else
-#define MAY_GRANT(owner) (!stopped[owner])
+#define MAY_GRANT(owner) (!((owner) == 0 && (first_to_second || first_to_third) || (owner) == 1 && second_to_third))
 #endif
 #define GRANTS(owner) ((owner) <= newest && MAY_GRANT(owner) && \
   (COUNTS(owner, 0) + COUNTS(owner, 1) + COUNTS(owner, 2)) >= MIN_VOTES)
@@ -112,16 +118,20 @@
 active proctype fleet() {
   byte i;
   do
-  :: atomic { newest < OWNERS - 1 -> newest++ }
-  :: atomic { /* the newest owner asks its predecessor to stop */
-       newest > 0 && !stopped[newest - 1] ->
-       stopped[newest - 1] = true;
-#ifdef NO_CHAIN
-       earlier_stopped[newest] = true
-#else
-       earlier_stopped[newest] = granted[newest - 1]
+  :: atomic { newest == 0 -> newest = 1 }
+  :: atomic { /* the claimer may have seen that the second owner granted tokens */
+       newest == 1 ->
+       newest = 2;
+#ifndef NO_CHAIN
+       if
+       :: second_granted -> skip
+       :: has_former = true
+       fi
 #endif
      }
+  :: atomic { newest >= 1 -> first_to_second = true } /* a former owner confirms */
+  :: atomic { newest == 2 -> first_to_third = true }
+  :: atomic { newest == 2 -> second_to_third = true }
   :: atomic { known[0] < newest -> known[0]++ } /* an epoch reaches a voter */
   :: atomic { known[1] < newest -> known[1]++ }
   :: atomic { known[2] < newest -> known[2]++ }
@@ -141,9 +151,7 @@
      }
   :: atomic {
        true;
-       if :: GRANTS(0) -> granted[0] = true :: else fi;
-       if :: GRANTS(1) -> granted[1] = true :: else fi;
-       if :: GRANTS(2) -> granted[2] = true :: else fi;
+       if :: GRANTS(1) -> second_granted = true :: else fi;
        assert(GRANTS(0) + GRANTS(1) + GRANTS(2) <= 1)
      }
   od
