Rates: logs and metrics tell why no owner grants tokens

Callers saw: 429 with the detail "the owner of the team's rate did not respond" for as long as a cut or an outage lasted. No decision changes.

--- a/broker/election.go
+++ b/broker/election.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
 )
@@ -254,6 +255,7 @@
 func (b *Broker) claim(ctx context.Context, shards ShardSet) {
 	b.mu.Lock()
 	next, revision := b.nextAssignmentLocked(shards), b.revision
+	b.logClaimLocked(shards)
 	b.mu.Unlock()
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -272,6 +274,20 @@
 	b.applyRow(catkinrun.Row{Key: RowKey, Value: value, Revision: page.Revision})
 }
 
+// logClaimLocked logs what this daemon has seen of the owners whose shards it claims.
+func (b *Broker) logClaimLocked(shards ShardSet) {
+	for _, owner := range b.assignment.Owners {
+		if b.assignment.OwnedBy(owner)&shards == 0 {
+			continue
+		}
+		h, ok := b.health[owner.Host]
+		b.log.WithFields(logrus.Fields{
+			"owner": owner.Host, "generation": b.assignment.Generation, "failing-ms": b.failureTimeLocked(owner).Milliseconds(),
+			"process-ended": ok && h.owner == owner && h.gone, "shards": (b.assignment.OwnedBy(owner) & shards).Len(),
+		}).Info("broker: replacing an owner")
+	}
+}
+
 // nextAssignmentLocked returns the assignment with which this daemon claims shards.
 func (b *Broker) nextAssignmentLocked(shards ShardSet) Assignment {
 	switch {
--- a/broker/granting.go
+++ b/broker/granting.go
@@ -204,6 +204,50 @@
 	if ready == b.ready {
 		return
 	}
-	b.log.WithFields(logrus.Fields{"shards": ready.Len(), "before": b.ready.Len(), "generation": b.assignment.Generation}).Info("broker: shards whose tokens this daemon grants changed")
+	votes, voters := b.countVotesLocked(b.elapsed())
+	b.log.WithFields(logrus.Fields{
+		"shards": ready.Len(), "before": b.ready.Len(), "generation": b.assignment.Generation, "votes": votes, "voters": voters,
+	}).Info("broker: shards whose tokens this daemon grants changed")
 	b.ready = ready
 }
+
+// countVotesLocked returns the valid votes for this daemon and the number of voters, of the
+// group in which it has the fewest.
+func (b *Broker) countVotesLocked(now time.Duration) (votes, voters int) {
+	for i, group := range b.voters {
+		count := 0
+		for _, host := range group {
+			if s, ok := b.supporters[host]; ok && s.votesFor(b.assignment.Generation, now) {
+				count++
+			}
+		}
+		if i == 0 || count < votes {
+			votes, voters = count, len(group)
+		}
+	}
+	return votes, voters
+}
+
+// Status is what operators see of the rates at one daemon.
+type Status struct {
+	Generation   uint64 // of the assignment
+	Ready        int    // shards whose tokens this daemon grants
+	Votes        int    // for this daemon, in the group of voters with the fewest
+	Voters       int    // in that group
+	MayVote      bool   // this daemon's own requests are votes
+	OwnersFailed int    // owners that do not respond to this daemon
+}
+
+// Status returns the present state.
+func (b *Broker) Status() Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Status{Generation: b.assignment.Generation, Ready: b.ready.Len(), MayVote: b.listed}
+	s.Votes, s.Voters = b.countVotesLocked(b.elapsed())
+	for _, owner := range b.assignment.Owners {
+		if b.failureTimeLocked(owner) > 0 {
+			s.OwnersFailed++
+		}
+	}
+	return s
+}
