--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -47,6 +47,7 @@
 	current atomic.Pointer[liveDaemon]
 	crashed atomic.Bool // the process has ended
 	cut     atomic.Bool // from the store and all other daemons
+	alone   atomic.Bool // cut off from all other daemons, but not from the store
 }
 
 // liveDaemon is one start of a host's daemon.
@@ -137,7 +138,7 @@
 	if to == d.host {
 		return d.broker.GrantTokens(ctx, request)
 	}
-	if d.host.cut.Load() || to.cut.Load() {
+	if d.host.cut.Load() || to.cut.Load() || d.host.alone.Load() || to.alone.Load() {
 		time.Sleep(callTimeout)
 		return nil, context.DeadlineExceeded
 	}
@@ -162,7 +163,7 @@
 // owner returns the host that owns a team's shard.
 func (f *liveFleet) owner(team string) *liveHost {
 	for _, h := range f.hosts {
-		if h.crashed.Load() || h.cut.Load() {
+		if h.crashed.Load() || h.cut.Load() || h.alone.Load() {
 			continue
 		}
 		assignment, _ := h.current.Load().broker.Assignment()
@@ -425,3 +426,70 @@
 		f.checkBound(t)
 	})
 }
+
+// reachable returns the hosts that are in touch with each other and with the store.
+func (f *liveFleet) reachable() []*liveHost {
+	var hosts []*liveHost
+	for _, h := range f.hosts {
+		if !h.cut.Load() && !h.alone.Load() && !h.crashed.Load() {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// TestHostsCutOffFromOthersTakeNoOwnership cuts two of twelve hosts off from the others, the
+// owner first, while they still reach the store. They used to replace every owner.
+func TestHostsCutOffFromOthersTakeNoOwnership(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, 12, sameTeams(8, 100))
+			random := rand.New(rand.NewPCG(1, 8))
+			for range 2 {
+				f.owner(teamNames(0)).alone.Store(true)
+				time.Sleep(4 * time.Second)
+			}
+			if restart {
+				for _, i := range random.Perm(len(f.hosts)) {
+					f.hosts[i].crash()
+				}
+				for _, i := range random.Perm(len(f.hosts)) {
+					time.Sleep(500 * time.Millisecond / 12)
+					f.hosts[i].start(t.Context())
+				}
+				time.Sleep(4 * time.Second)
+			}
+			f.startLoads(t.Context(), 9, 60, f.reachable(), 10*time.Second).Wait()
+			f.requireRefusedBelow(t, 2)
+			f.checkBound(t)
+		})
+	}
+}
+
+// addGone adds member rows of hosts that are gone for good, which left or died silently.
+func (f *liveFleet) addGone(count int, left bool) {
+	members := slices.Clone(f.Members())
+	for i := range count {
+		members = append(members, catkinrun.Member{Host: fmt.Sprintf("gone-%03d-%t", i, left), Peer: "gone", Leaving: left})
+	}
+	f.members.Store(&members)
+}
+
+// TestHostsThatLeftForGoodAreNoVoters has the rows of 24 hosts that have left stay behind, and
+// restarts all 12 daemons. No owner had a majority then.
+func TestHostsThatLeftForGoodAreNoVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12, sameTeams(8, 100))
+		f.addGone(24, true)
+		for _, h := range f.hosts {
+			h.crash()
+		}
+		for _, h := range f.hosts {
+			h.start(t.Context())
+		}
+		time.Sleep(3 * time.Second)
+		f.startLoads(t.Context(), 10, 60, f.hosts, 5*time.Second).Wait()
+		f.requireRefusedBelow(t, 2)
+		f.checkBound(t)
+	})
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -246,3 +246,27 @@
 		is.True(!response.Usable)
 	})
 }
+
+// TestTableIsReadThroughAnotherDaemon has the store not respond to a daemon that reads the table
+// after its start. Without a reading the daemon may not vote for the owners of the rates.
+func TestTableIsReadThroughAnotherDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 4)
+		f.store.write()
+		for _, host := range []string{f.members[0].Host, f.members[1].Host} {
+			f.store.fail(host)
+		}
+		f.daemons[f.members[1].Host].frozen.Store(true)
+		page := catkinrun.Page{}
+		err := error(&relayer.UnusableError{})
+		for range 3 { // the follower tries again after a failed call
+			if err != nil {
+				page, err = f.daemons[f.members[0].Host].relayer.List(t.Context(), tableName)
+			}
+		}
+		is.NoErr(err)
+		is.Equal(page.Revision, f.store.revision)
+		is.Equal(len(page.Rows), 1)
+	})
+}
