Rates: asking the voters leaves no request behind

Cause: a candidate stopped waiting as soon as a majority had answered, and requests to the other voters went on for up to 300 ms. Change: the remaining requests are cancelled and waited for; the test's fleet obeys a cancelled request.

--- a/broker/candidacy.go
+++ b/broker/candidacy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -63,8 +64,6 @@
 	if c.shards == 0 {
 		return own
 	}
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
 	confirmed := c.poll(ctx, b)
 	if confirmed == 0 {
 		b.log.WithFields(logrus.Fields{"shards": c.shards.Len(), "generation": c.request.Generation}).
@@ -97,13 +96,17 @@
 	return c
 }
 
-// poll asks the voters until a majority has agreed to every shard, all have responded or ctx
-// ends. It returns the shards to which a majority has agreed, none if a voter knows a later
+// poll asks the voters until a majority has agreed to every shard, all have responded or the time
+// for it is over. It returns the shards to which a majority has agreed, none if a voter knows a later
 // assignment.
 func (c *candidacy) poll(ctx context.Context, b *Broker) ShardSet {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	var polls sync.WaitGroup
+	defer polls.Wait()
+	defer cancel()
 	for _, voter := range c.members {
 		p := &voterPoll{candidacy: c, voter: voter}
-		go p.run(ctx)
+		polls.Go(func() { p.run(ctx) })
 	}
 	for range c.members {
 		if c.confirmed() == c.shards {
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -139,7 +139,10 @@
 		return d.broker.GrantTokens(ctx, request)
 	}
 	if to == nil || d.host.cut.Load() || to.cut.Load() || d.host.alone.Load() || to.alone.Load() {
-		time.Sleep(callTimeout)
+		select {
+		case <-time.After(callTimeout):
+		case <-ctx.Done():
+		}
 		return nil, context.DeadlineExceeded
 	}
 	time.Sleep(networkDelay)
