Rates: hosts that have left for good are no voters

Cause: the voters were chosen among all rows of the members table, and the row of a host that has left stays there. With enough of them no owner ever has a majority again. Class: membership that only grows decides a quorum. Change: voters are chosen among the hosts that are not leaving; if all are leaving, among all.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -94,6 +94,7 @@
 	retired     map[int]*ledger       // of shards that this daemon has lost to another in this generation
 	handedOver  map[string]int        // by team: tokens received from the former owner
 	hosts       []string
+	candidates  []string // hosts that may be voters: those that are not leaving, whose row may stay after they have left
 	voters      [voterGroupCount][]string
 	updatedAt   time.Duration
 }
--- a/broker/granting.go
+++ b/broker/granting.go
@@ -106,14 +106,20 @@
 
 func (b *Broker) updateHostsLocked() {
 	members := b.members.Members()
-	hosts := make([]string, 0, len(members))
+	hosts, candidates := make([]string, 0, len(members)), make([]string, 0, len(members))
 	for _, m := range members {
 		hosts = append(hosts, m.Host)
+		if !m.Leaving {
+			candidates = append(candidates, m.Host)
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = hosts // the whole fleet is shutting down
 	}
-	if slices.Equal(hosts, b.hosts) {
+	if slices.Equal(hosts, b.hosts) && slices.Equal(candidates, b.candidates) {
 		return
 	}
-	b.hosts, b.voters = hosts, voters(hosts)
+	b.hosts, b.candidates, b.voters = hosts, candidates, voters(candidates)
 	for host := range b.supporters {
 		if _, found := slices.BinarySearch(hosts, host); !found {
 			delete(b.supporters, host)
