Rates: a restarted daemon reads the store through another one

Cause: a restarted daemon votes only after it has read the members table, because another daemon's knowledge may be older than its own votes before the restart. With a majority that cannot read it, no owner grants tokens until the store is back. Class: state that only the store may restore, while other hosts that reach the store could read it. Ruled out: voting after a wait, or with what another daemon knows: spec/rates.pml refutes it (GO_BACK). Change: a daemon whose read fails has the other members in turn read the table for it. That read begins after the request, so it shows all that the daemon may have voted under; nobody reads through a third.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -34,17 +34,19 @@
 	turnTimeout = turnTime + 300*time.Millisecond
 )
 
-// Request asks a watcher for the changes of a table after a revision.
+// Request asks a watcher for the changes of a table after a revision, or any daemon to read all of a
+// table for the requesting one.
 type Request struct {
 	Table string             `cbor:"table"`
 	After catkinrun.Revision `cbor:"after"`
+	List  bool               `cbor:"list,omitempty"`
 }
 
-// Response has the changed rows.
+// Response has the changed rows, or all rows.
 type Response struct {
 	Rows     []catkinrun.Row    `cbor:"rows,omitempty"`
 	Revision catkinrun.Revision `cbor:"revision"`
-	Usable   bool               `cbor:"usable"` // the daemon watches the store and has all changes after the revision
+	Usable   bool               `cbor:"usable"` // the daemon has all that was asked for from the store
 }
 
 // Members lists the hosts.
@@ -65,8 +67,9 @@
 	log     logrus.FieldLogger
 	self    catkinrun.Member
 
-	mu     sync.Mutex
-	tables map[string]*table
+	mu      sync.Mutex
+	tables  map[string]*table
+	helpers int // number of requests to read a table for this daemon
 }
 
 // table is a copy of a table of the store.
@@ -84,13 +87,19 @@
 	return &Relayer{Store: store, members: members, ask: ask, log: log, self: self, tables: make(map[string]*table)}
 }
 
-// List implements catkinrun.Store. It reads the store itself.
+// List implements catkinrun.Store. If the store does not respond to this daemon, another one reads
+// it: the rows are as of a time after the call, as if this daemon had read them itself. A daemon
+// that cannot read the members table after its start could not vote for the owners of the rates.
 func (r *Relayer) List(ctx context.Context, name string) (catkinrun.Page, error) {
 	page, err := r.Store.List(ctx, name)
+	direct := err == nil
+	if helper, ok := r.nextHelper(); !direct && ok && ctx.Err() == nil {
+		page, err = r.listThrough(ctx, helper, name, err)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
-	t.watched = err == nil
+	t.watched = direct
 	if err == nil {
 		t.rows = make(map[string]catkinrun.Row, len(page.Rows))
 		t.listedAt = page.Revision
@@ -99,6 +108,37 @@
 	return page, err
 }
 
+// nextHelper returns the other members in turn; ok is false if there are none.
+func (r *Relayer) nextHelper() (helper catkinrun.Member, ok bool) {
+	var others []catkinrun.Member
+	for _, m := range r.members.Members() {
+		if m.Host != r.self.Host && !m.Leaving {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return catkinrun.Member{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.helpers++
+	return others[r.helpers%len(others)], true
+}
+
+// listThrough has another daemon read a table. It fails with storeErr, the error of the store, if
+// that daemon cannot do so either.
+func (r *Relayer) listThrough(ctx context.Context, helper catkinrun.Member, name string, storeErr error) (catkinrun.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+	defer cancel()
+	response, err := r.ask(ctx, helper, &Request{Table: name, List: true})
+	if err != nil || !response.Usable {
+		return catkinrun.Page{}, storeErr
+	}
+	r.log.WithFields(logrus.Fields{"table": name, "host": helper.Host, "revision": response.Revision}).
+		Info("relayer: the store does not respond, another daemon has read the table")
+	return catkinrun.Page{Rows: response.Rows, Revision: response.Revision}, nil
+}
+
 // Watch implements catkinrun.Store.
 func (r *Relayer) Watch(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
 	if watcher, ok := r.nextWatcher(name); ok {
@@ -212,6 +252,9 @@
 func (r *Relayer) Handle(ctx context.Context, request *Request) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, turnTime)
 	defer cancel()
+	if request.List {
+		return r.listFor(ctx, request.Table), nil
+	}
 	for {
 		response, changed := r.respond(request)
 		if !response.Usable || len(response.Rows) > 0 {
@@ -226,6 +269,15 @@
 	}
 }
 
+// listFor reads a table from the store for another daemon, never through a third one.
+func (r *Relayer) listFor(ctx context.Context, name string) *Response {
+	page, err := r.Store.List(ctx, name)
+	if err != nil {
+		return &Response{}
+	}
+	return &Response{Rows: page.Rows, Revision: page.Revision, Usable: true}
+}
+
 // respond returns the present response to a request and a channel that is closed when it
 // changes.
 func (r *Relayer) respond(request *Request) (response *Response, changed <-chan struct{}) {
