Servers: limits and leaving that responses state are logged and counted

Logs and metrics could not tell whether a server's limit was unknown, forgotten or miscounted: nothing read the header. A response between daemons names the server's instance. No decision uses any of it yet.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/catkinrun/catkinrun/loader"
 	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/messenger"
+	"github.com/catkinrun/catkinrun/observer"
 	"github.com/catkinrun/catkinrun/platform"
 	"github.com/catkinrun/catkinrun/registrar"
 	"github.com/catkinrun/catkinrun/relayer"
@@ -96,6 +97,7 @@
 	relayer       *relayer.Relayer
 	syncer        *syncer.Syncer
 	admitter      *admitter.Admitter
+	observer      *observer.Observer
 	peerClient    *messenger.Client
 	gateway       *filterer.Gateway
 	services      []suture.Service
@@ -138,10 +140,11 @@
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
 	d.syncer = syncer.New(d.configurer, d.locator, d.broker, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
 	d.admitter = admitter.New(initialSlots, d.clock)
+	d.observer = observer.New(d.clock, d.log)
 	deps := &filterer.Dependencies{
 		Self: self, Service: s.Service, Server: s.Server, HeaderCodec: platform.HeaderCodec{},
 		Configurer: d.configurer, Correlator: correlator.New(), Shedder: shedder.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
-		Budget: retrier.New(float64(s.Retries), d.serverCount), Registrar: d.registrar, Admitter: d.admitter, Syncer: d.syncer,
+		Budget: retrier.New(float64(s.Retries), d.serverCount), Registrar: d.registrar, Admitter: d.admitter, Observer: d.observer, Syncer: d.syncer,
 		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdleTimeout, maxIdleServerConns),
 		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
 	}
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -57,6 +57,7 @@
 	}
 	deps.Backend.SetPeerIdleTimeout(metadata.IdleTimeout)
 	removeSystemHeaders(exchange.Response.Header)
+	exchange.Response.Server = server.ID
 	exchange.Response.Failed = exchange.Response.Status >= http.StatusInternalServerError
 	c.Response = exchange.Response
 	return nil
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -25,6 +25,7 @@
 	versionHeader  = "Catkinrun-Version"  // daemon to daemon
 	reachedHeader  = "Catkinrun-Reached"  // daemon to daemon, on refusals
 	failedHeader   = "Catkinrun-Failed"   // daemon to daemon
+	serverHeader   = "Catkinrun-Server"   // daemon to daemon, instance ID of the backend server
 	loadScale      = 1000
 )
 
@@ -176,6 +177,7 @@
 	if response.Failed {
 		h.Set(failedHeader, "1")
 	}
+	h.Set(serverHeader, response.Server)
 }
 
 // takeResponseHeaders copies the serving daemon's headers to the fields of the response and
@@ -185,6 +187,7 @@
 	response.Pressure, _ = readPressure(response.Header) // a missing header means no pressure
 	response.Version = catkinrun.Version(headerInt(response.Header, versionHeader))
 	response.Failed = response.Header.Get(failedHeader) != ""
+	response.Server = response.Header.Get(serverHeader)
 	removeSystemHeaders(response.Header)
 }
 
--- a/filterer/send.go
+++ b/filterer/send.go
@@ -24,7 +24,9 @@
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "the deadline has passed")
 	}
 	if c.Host == f.deps.Self.Host {
-		return next(ctx, c)
+		err := next(ctx, c)
+		f.observe(c)
+		return err
 	}
 	request := exchanger.NewRequest(ctx, c, c.Peer)
 	encoded, err := encodeHeader(c.Envelope)
@@ -36,7 +38,16 @@
 	if err != nil {
 		return err
 	}
-	return f.readResponse(c, exchange)
+	err = f.readResponse(c, exchange)
+	f.observe(c)
+	return err
+}
+
+// observe records what the server states about itself in a response that goes to the caller.
+func (f *send) observe(c *catkinrun.Call) {
+	if response := c.Response; response != nil {
+		f.deps.Observer.Record(c.Host, response.Server, f.deps.HeaderCodec.ReadResponse(response.Status, response.Header).Condition)
+	}
 }
 
 // readResponse reads the serving daemon's response and its headers. A response to another
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -12,6 +12,7 @@
 	"github.com/catkinrun/catkinrun/exchanger"
 	"github.com/catkinrun/catkinrun/journaler"
 	"github.com/catkinrun/catkinrun/limiter"
+	"github.com/catkinrun/catkinrun/observer"
 	"github.com/catkinrun/catkinrun/registrar"
 	"github.com/catkinrun/catkinrun/retrier"
 	"github.com/catkinrun/catkinrun/router"
@@ -80,6 +81,7 @@
 	Budget      *retrier.Budget // of the server beside this daemon
 	Registrar   *registrar.Registrar
 	Admitter    *admitter.Admitter
+	Observer    *observer.Observer
 	Syncer      *syncer.Syncer
 	Peers       *exchanger.Exchanger // to other daemons
 	Backend     *exchanger.Exchanger // to the backend server beside this daemon
