Servers: no more requests than the limit that a server names

Class: a bound that the server states was held by no one, although one daemon sees all its requests. Change: the daemon beside the server has a token bucket at the named rate; waiters are admitted by it as by free slots, in the order of their classes; load and pressure follow it. Entry daemons that have passed the limit on state it with each request, so that it outlives a restart of the daemon beside the server.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -49,8 +49,11 @@
 	inUse        int
 	queue        queue
 	serviceTimes map[string]time.Duration // mean, by route
+	rate         rateLimit
 	pressure     pressureEstimator
 	counts       Counts
+
+	rateLimited chan struct{} // a waiter may wait for the rate limit
 }
 
 // Counts holds an admitter's totals.
@@ -66,7 +69,47 @@
 		clock: clock, slots: slots,
 		serviceTimes: make(map[string]time.Duration),
 		counts:       Counts{Refused: make(map[catkinrun.Reason]uint64)},
+		rateLimited:  make(chan struct{}, 1),
+	}
+}
+
+// Serve admits waiters as the rate limit allows until ctx ends; all others are admitted when a
+// slot becomes free. It implements suture.Service.
+func (a *Admitter) Serve(ctx context.Context) error {
+	for {
+		wait := a.admitDue()
+		if wait > 0 && a.clock.Wait(ctx, wait) == nil {
+			continue
+		}
+		select {
+		case <-a.rateLimited:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// admitDue admits the waiters that the rate limit allows. It returns the time until it allows
+// another one, 0 if none waits for it.
+func (a *Admitter) admitDue() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admitWaitersLocked()
+	if a.queue.size == 0 || a.inUse >= a.limitLocked() {
+		return 0
 	}
+	return max(time.Millisecond, a.rate.untilNext(a.clock.Now()))
+}
+
+// SetRateLimit applies the limit in requests per second that the server names, if limited is true.
+func (a *Admitter) SetRateLimit(limited bool, perSecond float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !limited && !a.rate.limited {
+		return
+	}
+	a.rate.set(limited, perSecond, a.clock.Now())
+	a.admitWaitersLocked()
 }
 
 // SetServer applies the slots and the cold state that the server announced.
@@ -121,9 +164,8 @@
 		a.serviceTimes[e.Route] = time.Duration(estimateDecay * float64(expected))
 		return nil, a.refuseLocked(e, catkinrun.ReasonDeadline, "the time left is far below the usual service time")
 	}
-	if a.queue.size == 0 && a.inUse < a.limitLocked() {
-		a.inUse++
-		a.counts.Admitted++
+	if a.queue.size == 0 && a.hasRoomLocked() {
+		a.admitLocked()
 		return nil, nil
 	}
 	w := &waiter{envelope: e, serviceTime: a.serviceTimes[e.Route], result: make(chan error, 1)}
@@ -131,9 +173,27 @@
 	a.counts.Queued++
 	a.admitWaitersLocked()
 	a.trimQueueLocked()
+	if a.rate.limited {
+		select {
+		case a.rateLimited <- struct{}{}:
+		default:
+		}
+	}
 	return w, nil
 }
 
+// hasRoomLocked reports whether the server may get another request now.
+func (a *Admitter) hasRoomLocked() bool {
+	return a.inUse < a.limitLocked() && a.rate.allows(a.clock.Now())
+}
+
+// admitLocked counts a request that the server gets.
+func (a *Admitter) admitLocked() {
+	a.inUse++
+	a.counts.Admitted++
+	a.rate.take()
+}
+
 // limitLocked returns the concurrency limit.
 func (a *Admitter) limitLocked() int {
 	fraction := limitFraction
@@ -145,13 +205,12 @@
 
 // admitWaitersLocked gives free slots to waiters.
 func (a *Admitter) admitWaitersLocked() {
-	for a.inUse < a.limitLocked() {
+	for a.hasRoomLocked() {
 		w := a.queue.pop()
 		if w == nil {
 			return
 		}
-		a.inUse++
-		a.counts.Admitted++
+		a.admitLocked()
 		w.result <- nil
 	}
 }
@@ -217,11 +276,15 @@
 }
 
 func (a *Admitter) updatePressureLocked() {
-	a.pressure.update(a.clock.Now(), a.limitLocked(), &a.queue.backlog)
+	perSecond := math.Inf(1)
+	if a.rate.limited {
+		perSecond = a.rate.perSecond
+	}
+	a.pressure.update(a.clock.Now(), a.limitLocked(), perSecond, &a.queue.backlog)
 }
 
-// Load returns the number of running and queued requests, divided by the concurrency
-// limit.
+// Load returns the number of running and queued requests, divided by the concurrency limit, or
+// the requests that arrive, divided by the limit that the server has named, if that is more.
 func (a *Admitter) Load() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -229,7 +292,11 @@
 }
 
 func (a *Admitter) loadLocked() float64 {
-	return float64(a.inUse+a.queue.size) / float64(a.limitLocked())
+	load := float64(a.inUse+a.queue.size) / float64(a.limitLocked())
+	if a.rate.limited {
+		load = max(load, a.pressure.arrivalRate()/a.rate.perSecond)
+	}
+	return load
 }
 
 // Pressure returns the fraction of new requests that entry daemons should refuse, by class.
--- a/admitter/pressure.go
+++ b/admitter/pressure.go
@@ -33,6 +33,8 @@
 type pressureEstimator struct {
 	fractions catkinrun.Pressure
 	demand    [catkinrun.ClassCount]float64 // slots, by class
+	arrivals  [catkinrun.ClassCount]float64 // requests per second, by class
+	sent      float64                       // requests per second that have arrived, without those that entry daemons refused
 	updatedAt time.Time
 }
 
@@ -42,12 +44,19 @@
 // would not arrive here, so they do not count.
 func (p *pressureEstimator) recordArrival(class int, serviceTime time.Duration, weight float64) {
 	maxWeight := 1 / (1 - p.fractions[class])
-	p.demand[class] += serviceTime.Seconds() / demandDecayTime.Seconds() * min(max(1, weight), maxWeight)
+	weight = min(max(1, weight), maxWeight)
+	p.demand[class] += serviceTime.Seconds() / demandDecayTime.Seconds() * weight
+	p.arrivals[class] += weight / arrivalDecayTime.Seconds()
+	p.sent += 1 / arrivalDecayTime.Seconds()
 }
 
-// update recomputes the pressure at time now for a server with the given concurrency limit.
-// backlog is the service time of the queued requests in seconds, by class.
-func (p *pressureEstimator) update(now time.Time, limit int, backlog *[catkinrun.ClassCount]float64) {
+// arrivalRate returns the requests per second that have arrived lately.
+func (p *pressureEstimator) arrivalRate() float64 { return p.sent }
+
+// update recomputes the pressure at time now for a server with the given concurrency limit, which
+// takes up to perSecond requests a second. backlog is the service time of the queued requests in
+// seconds, by class.
+func (p *pressureEstimator) update(now time.Time, limit int, perSecond float64, backlog *[catkinrun.ClassCount]float64) {
 	if p.updatedAt.IsZero() {
 		p.updatedAt = now
 	}
@@ -57,18 +66,28 @@
 	}
 	p.updatedAt = now
 	decay := math.Exp(-elapsed.Seconds() / demandDecayTime.Seconds())
+	arrivalDecay := math.Exp(-elapsed.Seconds() / arrivalDecayTime.Seconds())
+	p.sent *= arrivalDecay
 	available := targetUtilization * float64(limit)
+	perSecond *= targetUtilization
 	for class := range p.demand {
 		p.demand[class] *= decay
+		p.arrivals[class] *= arrivalDecay
 		available -= backlog[class] / queueDrainTime.Seconds()
-		admitted := 1.0
-		if p.demand[class] > available {
-			admitted = max(available/p.demand[class], 1-maxPressure)
-		}
+		admitted := min(admittedFraction(p.demand[class], available), admittedFraction(p.arrivals[class], perSecond))
 		p.fractions[class] = 1 - admitted
 		available -= admitted * p.demand[class]
+		perSecond -= admitted * p.arrivals[class]
 	}
 	for class := 1; class < len(p.fractions); class++ {
 		p.fractions[class] = max(p.fractions[class], p.fractions[class-1]) // for classes without demand
 	}
 }
+
+// admittedFraction returns the fraction of a demand that what is available suffices for.
+func admittedFraction(demand, available float64) float64 {
+	if demand <= available {
+		return 1
+	}
+	return max(available/demand, 1-maxPressure)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -149,7 +149,7 @@
 		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
 	}
 	d.gateway = filterer.NewGateway(deps, rand.Float64, d.recordRequest)
-	d.services = []suture.Service{d.journal, d.configuration, d.members, d.registrar, d.broker, d.limiter, d.syncer}
+	d.services = []suture.Service{d.journal, d.configuration, d.members, d.registrar, d.broker, d.limiter, d.syncer, d.admitter}
 	d.registerMetrics()
 }
 
--- a/envelope.go
+++ b/envelope.go
@@ -83,6 +83,7 @@
 	ParentClass  int           `cbor:"16,keyasint,omitempty"` // class of a downstream call's parent request, 0 if unknown
 	Retry        bool          `cbor:"18,keyasint,omitempty"` // an earlier attempt has reached a backend server
 	FromRetry    bool          `cbor:"19,keyasint,omitempty"` // downstream call that is made, directly or not, for a retry
+	Notice       *Notice       `cbor:"20,keyasint,omitempty"` // of the server at the chosen host
 	Weight       float64       `cbor:"17,keyasint,omitempty"` // requests that callers made for each one that the entry daemon sent; 0 counts as 1
 }
 
@@ -111,5 +112,5 @@
 	case e.TimeLeft <= 0:
 		return &InvalidError{Where: "envelope", Field: "time-left", Reason: "expected more than 0"}
 	}
-	return nil
+	return e.Notice.Validate()
 }
--- a/filter.go
+++ b/filter.go
@@ -41,7 +41,7 @@
 	Pressure Pressure      // at the servers that the route's requests use
 	Version  Version       // of the serving daemon's configuration
 	Failed   bool          // the backend server's status is 5xx
-	Server   string        // instance ID of the backend server, empty if unknown
+	Server   string        // start of the backend server, empty if unknown
 }
 
 // RequestMetadata holds what a caller states about its request in headers.
@@ -70,13 +70,6 @@
 	Condition   Condition
 }
 
-// Condition is what a backend server states about itself in a response.
-type Condition struct {
-	Limited bool    // the server takes no more than Limit
-	Limit   float64 // requests per second from all hosts together
-	Leaving bool    // the server will end
-}
-
 // HeaderCodec reads and writes the headers that callers and backend servers use.
 type HeaderCodec interface {
 	// ExtractRequest reads a caller's headers and removes those that must not be passed on.
--- a/filterer/admit.go
+++ b/filterer/admit.go
@@ -23,7 +23,9 @@
 		f.log(c, server, "admit: the server accepts no new requests for the service")
 		return refuseTemporarily(catkinrun.ReasonLeaving, "the server accepts no new requests for the service")
 	}
+	deps.Observer.Adopt(deps.Self.Host, server.Start(), c.Envelope.Notice)
 	deps.Admitter.SetServer(server.Slots, server.ColdLeft > 0)
+	deps.applyRateLimit(server)
 	enteredAt := deps.Clock.Now()
 	if err := deps.Admitter.Acquire(ctx, c.Envelope); err != nil {
 		refusal := *asRefusal(err)
--- a/filterer/condition_test.go
+++ b/filterer/condition_test.go
@@ -114,6 +114,7 @@
 	}}}}, "test")
 	is.NoErr(err)
 	adm := admitter.New(500, system)
+	go func() { _ = adm.Serve(p.t.Context()) }()
 	return filterer.NewGateway(&filterer.Dependencies{
 		Self: self, Service: "other", Server: p.server, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
 		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.99 }), Limiter: limiter.New(conf, hosts, ownerless{}, system, log, host),
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -51,13 +51,17 @@
 		return err
 	}
 	metadata := deps.HeaderCodec.ReadResponse(exchange.Response.Status, exchange.Response.Header)
+	if metadata.ID == c.Envelope.Request && !metadata.Misdirected {
+		deps.Observer.Record(deps.Self.Host, server.Start(), metadata.Condition)
+		deps.applyRateLimit(server)
+	}
 	if err := f.checkResponse(c, server, exchange, metadata); err != nil {
 		f.log(c, server, exchange.Response.Status, asRefusal(err).Detail)
 		return err
 	}
 	deps.Backend.SetPeerIdleTimeout(metadata.IdleTimeout)
 	removeSystemHeaders(exchange.Response.Header)
-	exchange.Response.Server = server.ID
+	exchange.Response.Server = server.Start()
 	exchange.Response.Failed = exchange.Response.Status >= http.StatusInternalServerError
 	c.Response = exchange.Response
 	return nil
--- a/filterer/send.go
+++ b/filterer/send.go
@@ -23,6 +23,7 @@
 	if c.Envelope.TimeLeft <= 0 {
 		return refuse(http.StatusGatewayTimeout, catkinrun.ReasonDeadline, "the deadline has passed")
 	}
+	c.Envelope.Notice = f.deps.Observer.Notice(c.Host)
 	if c.Host == f.deps.Self.Host {
 		err := next(ctx, c)
 		f.observe(c)
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -47,7 +47,7 @@
 	{"route", "choose the host", CallerListener, newRoute},
 	{"send", "send the request to the host's daemon", CallerListener, newSend},
 	{"verify", "check the envelope; check the request against a newer configuration", PeerListener, newVerify},
-	{"admit", "wait for a slot, or shed", PeerListener, newAdmit},
+	{"admit", "wait for a slot and for the rate that the server takes, or shed", PeerListener, newAdmit},
 	{"forward", "send the request to the backend server, a retry only within the budget", PeerListener, newForward},
 }
 
@@ -97,6 +97,12 @@
 	return server, accepting && server.Service == c.Envelope.Service
 }
 
+// applyRateLimit applies the limit that the server beside this daemon has named.
+func (d *Dependencies) applyRateLimit(server catkinrun.Server) {
+	perSecond, limited := d.Observer.Limit(d.Self.Host, server.Start())
+	d.Admitter.SetRateLimit(limited, perSecond)
+}
+
 // refuse returns the refusal of a request that is proven not to have run.
 func refuse(status int, reason catkinrun.Reason, detail string) *catkinrun.Refusal {
 	return &catkinrun.Refusal{Status: status, Reason: reason, Outcome: catkinrun.OutcomeNotRun, Detail: detail}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -37,7 +37,8 @@
 
 // statement is what one server has stated.
 type statement struct {
-	server       string // instance ID
+	server       string // start of the server
+	heard        bool   // by this daemon, not from another one
 	limited      bool
 	limit        float64 // requests per second
 	limitAt      time.Time
@@ -55,14 +56,12 @@
 func (o *Observer) Record(host, server string, c catkinrun.Condition) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s, known := o.servers[host]
-	if server == "" || !known && c == (catkinrun.Condition{}) {
+	if server == "" {
 		return
 	}
+	s := o.statementLocked(host, server)
+	s.heard = true
 	now := o.clock.Now()
-	if s.server != server {
-		s = statement{server: server}
-	}
 	switch {
 	case c.Limited:
 		s.limited, s.limit, s.limitAt = true, c.Limit, now
@@ -74,13 +73,59 @@
 		o.log.WithFields(logrus.Fields{"host": host, "server": server}).Info("observer: server is leaving")
 	}
 	o.logLimit(host, &s)
-	if !s.limited && !s.leaving {
-		delete(o.servers, host)
+	o.servers[host] = s
+}
+
+// statementLocked returns what is known of a server, nothing if another start of it or another
+// server is known at the host.
+func (o *Observer) statementLocked(host, server string) statement {
+	if s := o.servers[host]; s.server == server {
+		return s
+	}
+	return statement{server: server}
+}
+
+// Adopt takes over what another daemon has seen of the server beside a host's daemon, unless this
+// daemon has had a response of that server itself.
+func (o *Observer) Adopt(host, server string, n *catkinrun.Notice) {
+	if n == nil || n.Server != server {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.statementLocked(host, server)
+	if s.heard || !n.Limited {
 		return
 	}
+	s.limited, s.limit, s.limitAt = true, n.Limit, o.clock.Now()
+	o.logLimit(host, &s)
 	o.servers[host] = s
 }
 
+// Limit returns the limit in requests per second of the server beside a host's daemon; limited is
+// false if it has none.
+func (o *Observer) Limit(host, server string) (perSecond float64, limited bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.statementLocked(host, server)
+	return s.limit, s.limited
+}
+
+// Notice returns what a host's daemon should know of its server, nil if there is nothing.
+func (o *Observer) Notice(host string) *catkinrun.Notice {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.servers[host]
+	if !s.limited && !s.leaving {
+		return nil
+	}
+	n := &catkinrun.Notice{Server: s.server, Limited: s.limited, Limit: s.limit, Leaving: s.leaving}
+	if s.leaving {
+		n.LeavingFor = max(0, o.clock.Now().Sub(s.leavingSince))
+	}
+	return n
+}
+
 // logLimit logs a limit that is new, has changed or has been lifted.
 func (o *Observer) logLimit(host string, s *statement) {
 	if math.Abs(s.limit-s.loggedLimit) <= minLoggedChange*max(s.limit, s.loggedLimit) {
