Servers: one that says that it is leaving gets no requests from those who know

A server that leaves says so in all its responses; we knew a planned leave from announcements and the members table only, and sent it requests until one of them arrived. Cause and class: a state that a daemon learns from responses was neither kept nor held by the other hosts; with the daemon beside the server restarted and the store not writable, nobody held it. Ruled out: relying on the row alone, since the store may be away when the server begins to leave. A deregistration after that is the first notice of the server, so it still has its grace period. The notice names one start of the server: a server may start again under its ID.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,7 +130,8 @@
 	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdleTimeout, maxIdleStoreConns)}, time.Duration(s.Times.Store))
 	d.configurer = configurer.New(d.clock, d.log)
 	d.locator = locator.New(d.log)
-	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self, time.Duration(drainServeFraction*float64(s.Times.Drain)))
+	drainGrace := time.Duration(drainServeFraction * float64(s.Times.Drain))
+	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self, drainGrace)
 	d.broker = broker.New(store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
@@ -140,10 +141,10 @@
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
 	d.syncer = syncer.New(d.configurer, d.locator, d.broker, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
 	d.admitter = admitter.New(initialSlots, d.clock)
-	d.observer = observer.New(d.clock, d.log)
+	d.observer = observer.New(d.clock, d.log, drainGrace)
 	deps := &filterer.Dependencies{
 		Self: self, Service: s.Service, Server: s.Server, HeaderCodec: platform.HeaderCodec{},
-		Configurer: d.configurer, Correlator: correlator.New(), Shedder: shedder.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(d.locator, d.clock, d.log, s.Zone, rand.Float64),
+		Configurer: d.configurer, Correlator: correlator.New(), Shedder: shedder.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(observer.NewMembers(d.locator, d.observer), d.clock, d.log, s.Zone, rand.Float64),
 		Budget: retrier.New(float64(s.Retries), d.serverCount), Registrar: d.registrar, Admitter: d.admitter, Observer: d.observer, Syncer: d.syncer,
 		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdleTimeout, maxIdleServerConns),
 		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
--- a/filterer/admit.go
+++ b/filterer/admit.go
@@ -19,6 +19,10 @@
 func (f *admit) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	deps := f.deps
 	server, ok := deps.serverFor(c)
+	if n := c.Envelope.Notice; ok && n != nil && n.Leaving {
+		deps.Registrar.MarkLeaving(n.Server)
+		ok = !deps.Observer.Departed(server.Start(), n)
+	}
 	if !ok {
 		f.log(c, server, "admit: the server accepts no new requests for the service")
 		return refuseTemporarily(catkinrun.ReasonLeaving, "the server accepts no new requests for the service")
--- a/filterer/condition_test.go
+++ b/filterer/condition_test.go
@@ -113,13 +113,14 @@
 		Idempotent: true, Timeout: catkinrun.Duration(time.Second), Attempts: 1,
 	}}}}, "test")
 	is.NoErr(err)
+	obs := observer.New(system, log, testDrainGrace)
 	adm := admitter.New(500, system)
 	go func() { _ = adm.Serve(p.t.Context()) }()
 	return filterer.NewGateway(&filterer.Dependencies{
 		Self: self, Service: "other", Server: p.server, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
 		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.99 }), Limiter: limiter.New(conf, hosts, ownerless{}, system, log, host),
-		Router: router.New(hosts, system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
-		Registrar: reg, Admitter: adm, Observer: observer.New(system, log), Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
+		Router: router.New(observer.NewMembers(hosts, obs), system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
+		Registrar: reg, Admitter: adm, Observer: obs, Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
 		Peers: exchanger.New(time.Second, time.Second, 64), Backend: exchanger.New(time.Second, time.Second, 64),
 		Stopping: func() bool { return false }, Clock: system, Journal: journal,
 	}, func() float64 { return 0.5 }, func(filterer.Listener, string, time.Duration) {})
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -54,6 +54,9 @@
 	if metadata.ID == c.Envelope.Request && !metadata.Misdirected {
 		deps.Observer.Record(deps.Self.Host, server.Start(), metadata.Condition)
 		deps.applyRateLimit(server)
+		if metadata.Condition.Leaving {
+			deps.Registrar.MarkLeaving(server.Start())
+		}
 	}
 	if err := f.checkResponse(c, server, exchange, metadata); err != nil {
 		f.log(c, server, exchange.Response.Status, asRefusal(err).Detail)
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -101,7 +101,7 @@
 		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.5 }),
 		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, "h"),
 		Router:  router.New(hosts, system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
-		Registrar: reg, Admitter: adm, Observer: observer.New(system, log), Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
+		Registrar: reg, Admitter: adm, Observer: observer.New(system, log, 0), Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
 		Peers: exchanger.New(time.Second, time.Second, 4), Backend: exchanger.New(time.Second, time.Second, 4),
 		Stopping: func() bool { return stopping }, Clock: system, Journal: journal,
 	}, func() float64 { return 0.5 }, func(filterer.Listener, string, time.Duration) {})
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +29,9 @@
 // Observer keeps the last statements of the servers beside each host's daemon. It is safe for
 // concurrent use.
 type Observer struct {
-	clock catkinrun.Clock
-	log   logrus.FieldLogger
+	clock      catkinrun.Clock
+	log        logrus.FieldLogger
+	drainGrace time.Duration
 
 	mu      sync.Mutex
 	servers map[string]statement // by host
@@ -47,9 +49,10 @@
 	loggedLimit  float64
 }
 
-// New returns an observer that has seen no response.
-func New(clock catkinrun.Clock, log logrus.FieldLogger) *Observer {
-	return &Observer{clock: clock, log: log, servers: make(map[string]statement)}
+// New returns an observer that has seen no response. A leaving server may get requests for
+// drainGrace if no other serves.
+func New(clock catkinrun.Clock, log logrus.FieldLogger, drainGrace time.Duration) *Observer {
+	return &Observer{clock: clock, log: log, drainGrace: drainGrace, servers: make(map[string]statement)}
 }
 
 // Record records what a response of the server beside a host's daemon stated.
@@ -148,3 +151,42 @@
 	}
 	return limits
 }
+
+// Departed reports whether a notice says that a server has been leaving for so long that it gets no
+// more requests.
+func (o *Observer) Departed(server string, n *catkinrun.Notice) bool {
+	return n != nil && n.Leaving && n.Server == server && n.LeavingFor >= o.drainGrace
+}
+
+// isLeaving reports whether a member's server has stated that it is leaving.
+func (o *Observer) isLeaving(m catkinrun.Member) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.leavingSinceLocked(m) != nil
+}
+
+// withoutLeaving returns the members whose server has not stated that it is leaving. If there are
+// none, it returns those that may still get requests.
+func (o *Observer) withoutLeaving(members []catkinrun.Member) []catkinrun.Member {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	staying := slices.DeleteFunc(slices.Clone(members), func(m catkinrun.Member) bool { return o.leavingSinceLocked(m) != nil })
+	if len(staying) > 0 {
+		return staying
+	}
+	now := o.clock.Now()
+	return slices.DeleteFunc(slices.Clone(members), func(m catkinrun.Member) bool {
+		since := o.leavingSinceLocked(m)
+		return since != nil && now.Sub(*since) >= o.drainGrace
+	})
+}
+
+// leavingSinceLocked returns when a member's server first stated that it is leaving, nil if it has
+// not.
+func (o *Observer) leavingSinceLocked(m catkinrun.Member) *time.Time {
+	s, ok := o.servers[m.Host]
+	if !ok || !s.leaving || m.Server == nil || m.Server.Start() != s.server {
+		return nil
+	}
+	return &s.leavingSince
+}
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -17,7 +17,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	c := clock.NewFake()
-	return observer.New(c, log), c
+	return observer.New(c, log, time.Second), c
 }
 
 // TestLimitOutlastsAResponseWithoutIt has responses without the limit overtake one that names it.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -51,6 +51,7 @@
 	down        bool // a connection was refused, or reached another server, since the last announcement
 	coldUntil   time.Time
 	acceptUntil time.Time // until when a draining server still accepts requests
+	unannounced bool      // the server drains by its own responses, and has announced nothing about it
 	ended       []endedServer
 	waiters     []chan struct{} // each closed once the row is published
 }
@@ -130,11 +131,15 @@
 		r.endLocked(*previous)
 	}
 	r.coldUntil = r.clock.Now().Add(s.ColdLeft)
+	announcesDrain := s.Draining
 	if previous != nil && previous.ID == s.ID && previous.StartUnixMilli == s.StartUnixMilli && previous.Draining {
 		s.Draining = true // a draining server becomes ready again only after a restart
 	}
 	r.startDrainLocked(s, previous)
 	r.announced, r.down = true, false
+	if previous == nil || previous.Start() != s.Start() || announcesDrain {
+		r.unannounced = false
+	}
 	r.self = r.self.WithServer(&s)
 	if previous != nil && previous.ID == s.ID && previous.StartUnixMilli == s.StartUnixMilli && previous.Service == s.Service &&
 		previous.Slots == s.Slots && previous.Draining == s.Draining {
@@ -172,6 +177,24 @@
 	return s.ID == current.ID && s.Sequence <= current.Sequence
 }
 
+// MarkLeaving records that a server states in its responses that it is leaving, which other daemons
+// may have seen before a restart of this one.
+func (r *Registrar) MarkLeaving(start string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.self.Server
+	if current == nil || current.Start() != start || current.Draining {
+		return
+	}
+	leaving := *current
+	leaving.Draining = true
+	r.startDrainLocked(leaving, current)
+	r.unannounced = true
+	r.self = r.self.WithServer(&leaving)
+	r.log.WithFields(logrus.Fields{"server": leaving.ID, "service": leaving.Service}).Info("registrar: server is leaving")
+	r.publishLocked()
+}
+
 // Deregister implements platform.Registrar. It records that the server is about to end and,
 // if that changes the row, waits until the row is published, for at most publishTimeout.
 func (r *Registrar) Deregister(id string) {
@@ -195,7 +218,9 @@
 	last := *current
 	last.Draining = true
 	r.startDrainLocked(last, current)
-	if current.Draining {
+	announced := current.Draining && !r.unannounced
+	r.unannounced = false
+	if announced {
 		r.self = r.self.WithServer(nil)
 	} else {
 		r.self = r.self.WithServer(&last)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -242,3 +242,31 @@
 	}
 	announcing.Wait()
 }
+
+// TestServerThatStatesItIsLeavingDrains has a server state in a response that it is leaving. Its
+// deregistration follows and is the first notice that it gives, so that it still accepts requests for
+// the grace period; an announcement that it is ready was sent before.
+func TestServerThatStatesItIsLeavingDrains(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewFake()
+	r, s, _ := newRegistrarWithGrace(c, time.Second)
+	server := catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 1}
+	r.RecordAnnouncement(server)
+	r.MarkLeaving("other/1")
+	_, accepting := r.Server()
+	is.True(accepting)
+	r.MarkLeaving(server.Start())
+	server.Sequence = 2
+	r.RecordAnnouncement(server)
+	is.NoErr(r.Publish(t.Context()))
+	is.True(s.member(t).Server.Draining)
+	r.RecordDeregistration("i")
+	_, accepting = r.Server()
+	is.True(accepting)
+	c.Advance(time.Second)
+	_, accepting = r.Server()
+	is.True(!accepting)
+	r.RecordDeregistration("i")
+	is.NoErr(r.Publish(t.Context()))
+	is.Equal(s.member(t).Server, nil)
+}
