Rates: hosts that died for good are removed from the members

Cause: the same as of the rows of hosts that have left: membership that only grows decides a quorum. Ruled out: expiring rows by their age alone, since rows are written on change only. Change: the owner of the first shard, with the majority of all voters, removes one silent host a second after 30 s. TestRemovedRowOfALiveHostIsWrittenAgain: a host that lives comes back within a check interval.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -49,9 +49,11 @@
 	return maxLocalFraction * min(1, localShareHosts/float64(count)) / float64(count)
 }
 
-// Members lists the hosts, sorted by name.
+// Members lists the hosts, sorted by name, and has their rows.
 type Members interface {
 	Members() []catkinrun.Member
+	Row(host string) catkinrun.Row
+	Apply(page catkinrun.Page, complete bool)
 }
 
 // SnapshotSource provides the configuration in force, which declares the teams.
@@ -97,6 +99,8 @@
 	candidates  []string // hosts that may be voters: those that are not leaving, whose row may stay after they have left
 	voters      [voterGroupCount][]string
 	updatedAt   time.Duration
+	signs       map[string]lastSign // by host
+	departedAt  time.Duration       // last search for hosts that are gone
 }
 
 // New returns a broker for the daemon that self describes. The assignment's row is in table.
--- a/broker/election.go
+++ b/broker/election.go
@@ -129,7 +129,7 @@
 }
 
 // Poll claims the shards whose owner this daemon should replace, if there are any and a majority of
-// the voters agrees, and asks the former owners of its shards to stop.
+// the voters agrees, asks the former owners of its shards to stop, and removes hosts that are gone.
 func (b *Broker) Poll(ctx context.Context) {
 	members := b.members.Members()
 	b.mu.Lock()
@@ -142,6 +142,7 @@
 		b.claim(ctx, shards)
 	}
 	b.confirmFormerOwners(ctx)
+	b.removeDeparted(ctx)
 }
 
 // shardsToClaimLocked returns the shards that this daemon should own instead of their present
--- a/broker/votes.go
+++ b/broker/votes.go
@@ -32,6 +32,7 @@
 	generation uint64
 	echo       time.Duration
 	votes      bool
+	heardAt    time.Duration // arrival of the last request
 	adoptions  []adoption
 }
 
@@ -44,6 +45,7 @@
 // record adds a request that arrived at now. A request from before one that has already
 // arrived is ignored.
 func (s *supporter) record(request *TokenRequest, now time.Duration) {
+	s.heardAt = now
 	if request.Generation < s.generation || request.Echo < s.echo || request.Echo > now {
 		return
 	}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -79,6 +79,9 @@
 	time.Sleep(storeDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if t.Writes[0].Delete {
+		return catkinrun.Page{Revision: 2}, nil
+	}
 	if t.Preconditions[0].Revision != s.row.Revision {
 		return catkinrun.Page{}, &catkinrun.PreconditionError{Key: t.Preconditions[0].Key, Current: s.row}
 	}
@@ -97,6 +100,19 @@
 func (f *liveFleet) Members() []catkinrun.Member { return *f.members.Load() }
 func (f *liveFleet) Count() int                  { return len(f.Members()) }
 
+// Row returns the row of a host, which is written at its start alone.
+func (f *liveFleet) Row(host string) catkinrun.Row {
+	return catkinrun.Row{Key: host, Revision: 1}
+}
+
+// Apply removes the hosts whose rows are deleted.
+func (f *liveFleet) Apply(page catkinrun.Page, _ bool) {
+	members := slices.DeleteFunc(slices.Clone(f.Members()), func(m catkinrun.Member) bool {
+		return slices.ContainsFunc(page.Rows, func(r catkinrun.Row) bool { return r.Deleted && r.Key == m.Host })
+	})
+	f.members.Store(&members)
+}
+
 // list returns all rows of the table.
 func (s *liveStore) list() catkinrun.Page {
 	s.mu.Lock()
@@ -496,3 +512,39 @@
 		f.checkBound(t)
 	})
 }
+
+// TestHostsThatDiedForGoodAreRemoved has seven of twelve hosts die silently, three and four at a time,
+// beside the rows of hosts that left long ago, and checks that the others are served within their
+// rates and alone in the members table.
+func TestHostsThatDiedForGoodAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12, sameTeams(8, 100))
+		f.addGone(4, true)
+		for _, dying := range [][]*liveHost{f.hosts[:3], f.hosts[3:7]} {
+			for _, h := range dying {
+				h.cut.Store(true)
+			}
+			time.Sleep(50 * time.Second)
+		}
+		f.startLoads(t.Context(), 11, 60, f.reachable(), 5*time.Second).Wait()
+		f.requireRefusedBelow(t, 2)
+		if count := f.Count(); count != 5 {
+			t.Fatalf("%d members, expected 5", count)
+		}
+	})
+}
+
+// TestMinorityRemovesNobody cuts five of twelve hosts off from the others, but not from the store,
+// the owner among them.
+func TestMinorityRemovesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12, sameTeams(8, 100))
+		for _, h := range f.hosts[5:] {
+			h.cut.Store(true)
+		}
+		time.Sleep(90 * time.Second)
+		if count := f.Count(); count != 12 {
+			t.Fatalf("%d members, expected 12", count)
+		}
+	})
+}
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -63,6 +63,8 @@
 
 func (f *fleet) Members() []catkinrun.Member { return f.members }
 func (f *fleet) Count() int                  { return len(f.members) }
+func (f *fleet) Row(string) catkinrun.Row    { return catkinrun.Row{} }
+func (f *fleet) Apply(catkinrun.Page, bool)  {}
 
 func (d *daemon) Assignment() (assignment broker.Assignment, changed <-chan struct{}) {
 	return d.broker.Assignment()
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -270,3 +270,19 @@
 	is.NoErr(r.Publish(t.Context()))
 	is.Equal(s.member(t).Server, nil)
 }
+
+// TestRemovedRowOfALiveHostIsWrittenAgain has another daemon remove the row of a host that it took
+// for gone.
+func TestRemovedRowOfALiveHostIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	r, s, l := newRegistrar()
+	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 1})
+	is.NoErr(r.Publish(t.Context()))
+	key := locator.Key("h")
+	delete(s.rows, key)
+	s.revision++
+	l.Apply(catkinrun.Page{Rows: []catkinrun.Row{{Key: key, Revision: s.revision, Deleted: true}}, Revision: s.revision}, false)
+	is.NoErr(r.Publish(t.Context()))
+	is.Equal(s.member(t).Server.ID, "i")
+	is.Equal(len(l.Serving("s")), 1)
+}
