Rates: the time after which a silent host is gone follows the interval of its requests

Cause: in a fleet of 13,000 hosts a host that is no voter requests tokens every 26 s, so one lost request would have had its row removed after 30 s. Found by computing the row for docs/CAPACITY.md. Change: at least 30 s, and three times that interval.

--- a/broker/departure.go
+++ b/broker/departure.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// goneTimeout is how long a host must have sent nothing before its member row is removed. It is
+	// minGoneTimeout is how long a host must have sent nothing before its member row is removed. It is
 	// longer than the restart of a host, and than most partitions.
-	goneTimeout = 30 * time.Second
+	minGoneTimeout = 30 * time.Second
+	// goneTimePerHost lengthens it in a large fleet, to three times the interval at which a host there
+	// requests tokens.
+	goneTimePerHost = 6 * time.Millisecond
 	// departureInterval is the least time between two removals. The voters change by one at a time, so
 	// that a majority before a removal has a host in common with each majority after it.
 	departureInterval = time.Second
@@ -24,7 +27,7 @@
 	revision catkinrun.Revision
 }
 
-// removeDeparted removes the row of one host that has been silent for goneTimeout. Hosts that never
+// removeDeparted removes the row of one host that has been silent for long. Hosts that never
 // return would count as voters and reserve local shares for ever. Only an owner that has the majority
 // of every group of voters does so, so that a minority that is cut off never removes the others.
 // A host that is alive writes its row again.
@@ -43,10 +46,15 @@
 		b.log.WithError(err).WithField("host", host).Info("broker: row of a silent host not removed")
 		return
 	}
-	b.log.WithFields(logrus.Fields{"host": host, "silent": goneTimeout.String()}).Info("broker: row of a silent host removed")
+	b.log.WithFields(logrus.Fields{"host": host, "revision": row.Revision}).Info("broker: row of a silent host removed")
 	b.members.Apply(catkinrun.Page{Rows: []catkinrun.Row{{Key: row.Key, Revision: page.Revision, Deleted: true}}}, false)
 }
 
+// goneTimeoutLocked returns how long a host must have been silent.
+func (b *Broker) goneTimeoutLocked() time.Duration {
+	return max(minGoneTimeout, time.Duration(len(b.hosts))*goneTimePerHost)
+}
+
 // departedLocked records the signs of life, and returns the row of a host whose last one is long ago.
 func (b *Broker) departedLocked(now time.Duration) (row catkinrun.Row, host string, ok bool) {
 	if now-b.departedAt < departureInterval {
@@ -65,7 +73,7 @@
 			sign.at = max(sign.at, s.heardAt)
 		}
 		signs[h] = sign
-		if h != b.self.Host && now-sign.at >= goneTimeout && current.Revision > 0 {
+		if h != b.self.Host && now-sign.at >= b.goneTimeoutLocked() && current.Revision > 0 {
 			row, host, ok = current, h, true
 		}
 	}
@@ -77,7 +85,7 @@
 // as a host must be silent, and has the majority of every group of voters.
 func (b *Broker) presidesLocked(now time.Duration) bool {
 	l, granting := b.ledgers[0]
-	if !granting || now-l.grantingSince < goneTimeout {
+	if !granting || now-l.grantingSince < b.goneTimeoutLocked() {
 		return false
 	}
 	for group := range voterGroupCount {
