Servers: only responses that state something name the server's start

Cause: the header with the server's start went with every response between daemons, about 40 bytes between zones, though it only tells whose limit or leaving a response states. Change: it is sent with those alone; a response without it lifts a limit after the hold time, whichever start of the server it came from. Tests of package filterer and observer unchanged.

--- a/filter.go
+++ b/filter.go
@@ -41,7 +41,7 @@
 	Pressure Pressure      // at the servers that the route's requests use
 	Version  Version       // of the serving daemon's configuration
 	Failed   bool          // the backend server's status is 5xx
-	Server   string        // start of the backend server, empty if unknown
+	Server   string        // start of the backend server, if the response states something about it
 }
 
 // RequestMetadata holds what a caller states about its request in headers.
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -64,7 +64,9 @@
 	}
 	deps.Backend.SetPeerIdleTimeout(metadata.IdleTimeout)
 	removeSystemHeaders(exchange.Response.Header)
-	exchange.Response.Server = server.Start()
+	if metadata.Condition != (catkinrun.Condition{}) {
+		exchange.Response.Server = server.Start()
+	}
 	exchange.Response.Failed = exchange.Response.Status >= http.StatusInternalServerError
 	c.Response = exchange.Response
 	return nil
--- a/filterer/header.go
+++ b/filterer/header.go
@@ -25,7 +25,7 @@
 	versionHeader  = "Catkinrun-Version"  // daemon to daemon
 	reachedHeader  = "Catkinrun-Reached"  // daemon to daemon, on refusals
 	failedHeader   = "Catkinrun-Failed"   // daemon to daemon
-	serverHeader   = "Catkinrun-Server"   // daemon to daemon, instance ID of the backend server
+	serverHeader   = "Catkinrun-Server"   // daemon to daemon, start of a backend server that states something about itself
 	loadScale      = 1000
 )
 
@@ -177,7 +177,9 @@
 	if response.Failed {
 		h.Set(failedHeader, "1")
 	}
-	h.Set(serverHeader, response.Server)
+	if response.Server != "" {
+		h.Set(serverHeader, response.Server)
+	}
 }
 
 // takeResponseHeaders copies the serving daemon's headers to the fields of the response and
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -55,14 +55,18 @@
 	return &Observer{clock: clock, log: log, drainGrace: drainGrace, servers: make(map[string]statement)}
 }
 
-// Record records what a response of the server beside a host's daemon stated.
+// Record records what a response of the server beside a host's daemon stated. server is the start of
+// the server; it may be empty if the response stated nothing.
 func (o *Observer) Record(host, server string, c catkinrun.Condition) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if server == "" {
+	s, known := o.servers[host]
+	switch {
+	case server == "" && !known:
 		return
+	case server != "":
+		s = o.statementLocked(host, server)
 	}
-	s := o.statementLocked(host, server)
 	s.heard = true
 	now := o.clock.Now()
 	switch {
