Servers: one that started after the time of day was set back is used

Cause: a server whose start is before the recorded one is ignored, since late announcements of an ended server look like that. The recorded start comes from the store after a restart, so it outlives everything. Class: the time of day decides what is newer. Change: a server that has announced itself in order for 4 s while the recorded one has not replaces it. Servers announce themselves every 1.5 s; a late announcement of an ended one still changes nothing.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,10 @@
 	retryInterval = 250 * time.Millisecond
 	// checkInterval is the time between two checks whether the published row is up to date.
 	checkInterval = 500 * time.Millisecond
+	// silenceTimeout is how long the recorded server must have announced nothing before one with an
+	// earlier start replaces it: a server announces itself every 1.5 s, and late announcements of one
+	// that has ended arrive within seconds.
+	silenceTimeout = 4 * time.Second
 	// maxEndedServers limits the ended servers kept to recognize their late announcements.
 	maxEndedServers = 64
 )
@@ -52,10 +57,20 @@
 	coldUntil   time.Time
 	acceptUntil time.Time // until when a draining server still accepts requests
 	unannounced bool      // the server drains by its own responses, and has announced nothing about it
+	announcedAt time.Time // last announcement of the server, or the start of this daemon
+	rival       rival
 	ended       []endedServer
 	waiters     []chan struct{} // each closed once the row is published
 }
 
+// rival is a server with an earlier start than the recorded one that announces itself nevertheless:
+// either the announcements are late, or it started after the time of day was set back.
+type rival struct {
+	start    string
+	sequence uint64
+	since    time.Time // of the first of its announcements in order
+}
+
 // endedServer identifies a backend server process that has ended.
 type endedServer struct {
 	id             string
@@ -67,7 +82,7 @@
 func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, drainGrace time.Duration) *Registrar {
 	return &Registrar{
 		store: store, locator: locator, clock: clock, log: log, host: self.Host, self: self, drainGrace: drainGrace,
-		changed: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), announcedAt: clock.Now(),
 	}
 }
 
@@ -122,10 +137,11 @@
 func (r *Registrar) RecordAnnouncement(s catkinrun.Server) chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.outdatedLocked(s) {
+	if r.outdatedLocked(s) && !r.replacesSilentLocked(s) {
 		r.log.WithFields(logrus.Fields{"server": s.ID, "born": s.StartUnixMilli, "sequence": s.Sequence}).Info("registrar: late announcement ignored")
 		return nil
 	}
+	r.announcedAt, r.rival = r.clock.Now(), rival{}
 	previous := r.self.Server
 	if previous != nil && previous.ID != s.ID {
 		r.endLocked(*previous)
@@ -162,10 +178,8 @@
 
 // outdatedLocked reports whether an announcement is older than the recorded state.
 func (r *Registrar) outdatedLocked(s catkinrun.Server) bool {
-	for _, e := range r.ended {
-		if e.id == s.ID && s.StartUnixMilli <= e.startUnixMilli {
-			return true
-		}
+	if r.endedLocked(s) {
+		return true
 	}
 	current := r.self.Server
 	if current == nil || !r.announced {
@@ -195,6 +209,26 @@
 	r.publishLocked()
 }
 
+// replacesSilentLocked reports whether a server with an earlier start than the recorded one is in use
+// nevertheless: it has announced itself in order for silenceTimeout, and the recorded one has not.
+func (r *Registrar) replacesSilentLocked(s catkinrun.Server) bool {
+	current := r.self.Server
+	if current == nil || current.ID == s.ID || r.endedLocked(s) {
+		return false
+	}
+	now := r.clock.Now()
+	if r.rival.start != s.Start() || s.Sequence <= r.rival.sequence {
+		r.rival = rival{start: s.Start(), since: now}
+	}
+	r.rival.sequence = s.Sequence
+	return now.Sub(r.announcedAt) >= silenceTimeout && now.Sub(r.rival.since) >= silenceTimeout
+}
+
+// endedLocked reports whether a server is known to have ended.
+func (r *Registrar) endedLocked(s catkinrun.Server) bool {
+	return slices.ContainsFunc(r.ended, func(e endedServer) bool { return e.id == s.ID && s.StartUnixMilli <= e.startUnixMilli })
+}
+
 // Deregister implements platform.Registrar. It records that the server is about to end and,
 // if that changes the row, waits until the row is published, for at most publishTimeout.
 func (r *Registrar) Deregister(id string) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -286,3 +286,25 @@
 	is.Equal(s.member(t).Server.ID, "i")
 	is.Equal(len(l.Serving("s")), 1)
 }
+
+// TestServerThatStartedAfterTheClockWasSetBackIsUsed has a server replaced while the time of day is
+// a minute behind, so that its start seems to be before the last server's. Single late announcements of
+// an ended server look the same and are ignored.
+func TestServerThatStartedAfterTheClockWasSetBackIsUsed(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewFake()
+	r, _, _ := newRegistrarWithGrace(c, 0)
+	r.RecordAnnouncement(catkinrun.Server{ID: "old", Service: "s", Slots: 1, StartUnixMilli: 100_000, Sequence: 9})
+	late := catkinrun.Server{ID: "new", Service: "s", Slots: 1, StartUnixMilli: 40_000, Sequence: 1}
+	r.RecordAnnouncement(late)
+	server, _ := r.Server()
+	is.Equal(server.ID, "old") // it may be late
+	for range 4 {
+		c.Advance(1500 * time.Millisecond)
+		late.Sequence++
+		r.RecordAnnouncement(late)
+	}
+	server, accepting := r.Server()
+	is.Equal(server.ID, "new")
+	is.True(accepting)
+}
