Rates, servers: health, handover and order of announcements in files of their own

Moved without change: what a daemon has seen of an owner, the hand-over from former owners, the order of a server's announcements. Two small changes: a daemon that is cut off logs once a generation that the voters refused, not four times a second; only the owner of the first shard keeps signs of life of the hosts.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -87,6 +87,7 @@
 	superseded bool               // a later generation exists, but has not arrived yet
 	resigned   bool
 	health     map[string]*ownerHealth // by host
+	refusedIn  uint64                  // generation in which the voters last refused to replace an owner
 
 	// As an owner.
 	supporters  map[string]*supporter // by host
--- a/broker/candidacy.go
+++ b/broker/candidacy.go
@@ -65,13 +65,23 @@
 		return own
 	}
 	confirmed := c.poll(ctx, b)
-	if confirmed == 0 {
+	if confirmed == 0 && b.isFirstRefusal(c.request.Generation) {
 		b.log.WithFields(logrus.Fields{"shards": c.shards.Len(), "generation": c.request.Generation}).
 			Info("broker: owner not replaced, a majority of the voters does not respond or finds that the owner serves it")
 	}
 	return own | confirmed
 }
 
+// isFirstRefusal reports whether the voters have not refused to replace an owner in a generation before,
+// so that a host that is cut off logs it once.
+func (b *Broker) isFirstRefusal(generation uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := b.refusedIn != generation
+	b.refusedIn = generation
+	return first
+}
+
 func (b *Broker) newCandidacyLocked(members []catkinrun.Member, shards ShardSet) *candidacy {
 	b.updateHostsLocked()
 	c := &candidacy{
@@ -148,29 +158,3 @@
 	}
 	return confirmed
 }
-
-// hasEndedLocked reports whether an owner has certainly ended or is leaving.
-func (b *Broker) hasEndedLocked(members []catkinrun.Member, owner Owner) bool {
-	isMember := slices.ContainsFunc(members, func(m catkinrun.Member) bool {
-		return m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving
-	})
-	h, ok := b.health[owner.Host]
-	return !isMember || ok && h.owner == owner && h.gone
-}
-
-// failedLocked returns the shards whose tokens this daemon does not get from their owner, for
-// a candidate that asks for its consent.
-func (b *Broker) failedLocked() ShardSet {
-	var failed ShardSet
-	for _, owner := range b.assignment.Owners {
-		owned := b.assignment.OwnedBy(owner)
-		h, ok := b.health[owner.Host]
-		switch {
-		case owner == b.self:
-			failed |= owned.Without(b.ready)
-		case ok && h.owner == owner && h.gone, b.failureTimeLocked(owner) >= confirmFailure:
-			failed |= owned
-		}
-	}
-	return failed
-}
--- a/broker/departure.go
+++ b/broker/departure.go
@@ -57,6 +57,10 @@
 
 // departedLocked records the signs of life, and returns the row of a host whose last one is long ago.
 func (b *Broker) departedLocked(now time.Duration) (row catkinrun.Row, host string, ok bool) {
+	if owner, _ := b.assignment.Owner(0); owner != b.self {
+		b.signs = nil
+		return row, "", false
+	}
 	if now-b.departedAt < departureInterval {
 		return row, "", false
 	}
@@ -81,8 +85,8 @@
 	return row, host, ok && b.presidesLocked(now)
 }
 
-// presidesLocked reports whether this daemon owns the first shard, has granted its tokens for as long
-// as a host must be silent, and has the majority of every group of voters.
+// presidesLocked reports whether this daemon has granted the tokens of the first shard for as long as
+// a host must be silent, and has the majority of every group of voters.
 func (b *Broker) presidesLocked(now time.Duration) bool {
 	l, granting := b.ledgers[0]
 	if !granting || now-l.grantingSince < b.goneTimeoutLocked() {
--- a/broker/election.go
+++ b/broker/election.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,85 +31,6 @@
 	hostsPerOwner = 64
 )
 
-// ownerHealth is what this daemon has seen of one owner.
-type ownerHealth struct {
-	owner        Owner
-	failingSince time.Time // since when the owner has not responded, zero if it responds
-	gone         bool      // its process has ended
-	unreadySince time.Time // since when it has not been ready for all of its shards, zero if it is
-	granted      ShardSet  // shards of which it has granted tokens under the epochs in force
-}
-
-// RecordResponse records the response of an owner to a token request of this daemon, or the
-// error with which the request failed.
-func (b *Broker) RecordResponse(owner Owner, response *TokenResponse, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if response != nil && response.Assignment != nil {
-		b.applyLocked(*response.Assignment)
-	}
-	owned := b.assignment.OwnedBy(owner)
-	if owned == 0 {
-		return
-	}
-	h := b.healthLocked(owner)
-	now := b.clock.Now()
-	h.gone = ProcessEnded(owner, response, err)
-	trackSince(&h.failingSince, now, response == nil || h.gone)
-	var ready ShardSet
-	if response != nil && !h.gone && response.Generation == b.assignment.Generation {
-		ready = response.Ready
-	}
-	h.granted |= ready & owned
-	trackSince(&h.unreadySince, now, owned.Without(ready) != 0)
-	if h.gone {
-		select {
-		case b.wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// ProcessEnded reports whether an owner's process has certainly ended: its host refuses
-// connections, or another start of the daemon responds. An owner resigns before it refuses
-// connections.
-func ProcessEnded(owner Owner, response *TokenResponse, err error) bool {
-	if response == nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	return response.Incarnation != owner.Incarnation
-}
-
-// trackSince sets since to the time from which a condition has held, zero if it does not.
-func trackSince(since *time.Time, now time.Time, holds bool) {
-	switch {
-	case !holds:
-		*since = time.Time{}
-	case since.IsZero():
-		*since = now
-	}
-}
-
-func (b *Broker) healthLocked(owner Owner) *ownerHealth {
-	h, ok := b.health[owner.Host]
-	if !ok || h.owner != owner {
-		h = &ownerHealth{owner: owner}
-		b.health[owner.Host] = h
-	}
-	return h
-}
-
-// forgetEpochsLocked removes what is known of the former epochs of shards, and of daemons
-// that own no shard any more.
-func (b *Broker) forgetEpochsLocked(reassigned ShardSet) {
-	for host, h := range b.health {
-		h.granted = h.granted.Without(reassigned)
-		if b.assignment.OwnedBy(h.owner) == 0 {
-			delete(b.health, host)
-		}
-	}
-}
-
 // Serve checks the owners until ctx ends and claims the shards of those that have failed. It
 // implements suture.Service.
 func (b *Broker) Serve(ctx context.Context) error {
@@ -212,24 +132,6 @@
 // neverClaim is longer than any failure.
 const neverClaim = time.Duration(1<<63 - 1)
 
-// failureTimeLocked returns how long an owner has failed to respond to this daemon. An owner
-// that responds but does not grant tokens counts as failed after unreadyTimeout.
-func (b *Broker) failureTimeLocked(owner Owner) time.Duration {
-	h, ok := b.health[owner.Host]
-	if !ok || h.owner != owner {
-		return 0
-	}
-	now := b.clock.Now()
-	failure := time.Duration(0)
-	if !h.failingSince.IsZero() {
-		failure = now.Sub(h.failingSince)
-	}
-	if !h.unreadySince.IsZero() {
-		failure = max(failure, now.Sub(h.unreadySince)-unreadyTimeout)
-	}
-	return failure
-}
-
 // shardsToTakeOverLocked returns part of the shards of the owner with the most, if the fleet
 // has fewer owners than its size asks for and this daemon is the next one. All owners must be
 // responding.
@@ -303,42 +205,6 @@
 	return b.assignment.WithOwner(shards, b.self, granted)
 }
 
-// confirmFormerOwners asks the former owners of this daemon's shards to stop granting tokens,
-// until it is certain that they have stopped or the wait for their votes to expire is over.
-func (b *Broker) confirmFormerOwners(ctx context.Context) {
-	b.mu.Lock()
-	assignment := b.assignment
-	var former []Owner
-	for owner, shards := range b.unconfirmed {
-		if shards.Without(b.ready) == 0 {
-			delete(b.unconfirmed, owner)
-			continue
-		}
-		former = append(former, owner)
-	}
-	b.mu.Unlock()
-	for _, owner := range former {
-		stopped, handover := b.confirmStopped(ctx, owner, assignment)
-		b.recordStopped(owner, assignment, stopped, handover)
-	}
-}
-
-// confirmStopped asks a former owner to stop granting tokens of the shards that the assignment
-// gives to this daemon. It returns the shards for which that is certain, because the former
-// owner's response confirms it or its process has ended, and the tokens that it hands over.
-func (b *Broker) confirmStopped(ctx context.Context, former Owner, assignment Assignment) (stopped ShardSet, handover []Grant) {
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	response, err := b.ask(ctx, former, &TokenRequest{Host: b.self.Host, Generation: assignment.Generation, Assignment: &assignment})
-	switch {
-	case ProcessEnded(former, response, err):
-		return allShards, nil
-	case err != nil || response.Generation < assignment.Generation:
-		return 0, nil
-	}
-	return allShards.Without(response.Ready), response.Handover
-}
-
 // applyCurrent applies the row with which the store answered a failed precondition.
 func (b *Broker) applyCurrent(err error) {
 	var precondition *catkinrun.PreconditionError
@@ -353,19 +219,3 @@
 	defer b.mu.Unlock()
 	b.revision = 0 // the row has been removed
 }
-
-// recordStopped records the shards of which a former owner has stopped granting tokens, and
-// the tokens that it has handed over.
-func (b *Broker) recordStopped(former Owner, assignment Assignment, stopped ShardSet, handover []Grant) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.assignment.Generation != assignment.Generation {
-		return
-	}
-	for _, grant := range handover {
-		if shard := ShardOf(grant.Team); stopped.Has(shard) && b.unconfirmed[former].Has(shard) {
-			b.handedOver[grant.Team] = grant.Tokens
-		}
-	}
-	b.unconfirmed[former] = b.unconfirmed[former].Without(stopped)
-}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -63,20 +62,6 @@
 	waiters     []chan struct{} // each closed once the row is published
 }
 
-// rival is a server with an earlier start than the recorded one that announces itself nevertheless:
-// either the announcements are late, or it started after the time of day was set back.
-type rival struct {
-	start    string
-	sequence uint64
-	since    time.Time // of the first of its announcements in order
-}
-
-// endedServer identifies a backend server process that has ended.
-type endedServer struct {
-	id             string
-	startUnixMilli int64
-}
-
 // New returns a registrar for the daemon that self describes. A draining server still
 // accepts requests for drainGrace, from entry daemons that know no other server.
 func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, drainGrace time.Duration) *Registrar {
@@ -176,21 +161,6 @@
 	}
 }
 
-// outdatedLocked reports whether an announcement is older than the recorded state.
-func (r *Registrar) outdatedLocked(s catkinrun.Server) bool {
-	if r.endedLocked(s) {
-		return true
-	}
-	current := r.self.Server
-	if current == nil || !r.announced {
-		return current != nil && s.StartUnixMilli < current.StartUnixMilli
-	}
-	if s.StartUnixMilli != current.StartUnixMilli {
-		return s.StartUnixMilli < current.StartUnixMilli
-	}
-	return s.ID == current.ID && s.Sequence <= current.Sequence
-}
-
 // MarkLeaving records that a server states in its responses that it is leaving, which other daemons
 // may have seen before a restart of this one.
 func (r *Registrar) MarkLeaving(start string) {
@@ -209,26 +179,6 @@
 	r.publishLocked()
 }
 
-// replacesSilentLocked reports whether a server with an earlier start than the recorded one is in use
-// nevertheless: it has announced itself in order for silenceTimeout, and the recorded one has not.
-func (r *Registrar) replacesSilentLocked(s catkinrun.Server) bool {
-	current := r.self.Server
-	if current == nil || current.ID == s.ID || r.endedLocked(s) {
-		return false
-	}
-	now := r.clock.Now()
-	if r.rival.start != s.Start() || s.Sequence <= r.rival.sequence {
-		r.rival = rival{start: s.Start(), since: now}
-	}
-	r.rival.sequence = s.Sequence
-	return now.Sub(r.announcedAt) >= silenceTimeout && now.Sub(r.rival.since) >= silenceTimeout
-}
-
-// endedLocked reports whether a server is known to have ended.
-func (r *Registrar) endedLocked(s catkinrun.Server) bool {
-	return slices.ContainsFunc(r.ended, func(e endedServer) bool { return e.id == s.ID && s.StartUnixMilli <= e.startUnixMilli })
-}
-
 // Deregister implements platform.Registrar. It records that the server is about to end and,
 // if that changes the row, waits until the row is published, for at most publishTimeout.
 func (r *Registrar) Deregister(id string) {
@@ -263,13 +213,6 @@
 	return r.publishLocked()
 }
 
-func (r *Registrar) endLocked(s catkinrun.Server) {
-	r.ended = append(r.ended, endedServer{id: s.ID, startUnixMilli: s.StartUnixMilli})
-	if len(r.ended) > maxEndedServers {
-		r.ended = r.ended[1:]
-	}
-}
-
 // MarkDown records that the server refused a connection, or that another one has its
 // address. The server gets no requests until it announces itself again.
 func (r *Registrar) MarkDown(server, cause string) {
