--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -294,7 +294,7 @@
 func (a *Admitter) loadLocked() float64 {
 	load := float64(a.inUse+a.queue.size) / float64(a.limitLocked())
 	if a.rate.limited {
-		load = max(load, a.pressure.arrivalRate()/a.rate.perSecond)
+		load = max(load, a.pressure.arrivalRate/a.rate.perSecond)
 	}
 	return load
 }
--- a/admitter/pressure.go
+++ b/admitter/pressure.go
@@ -31,11 +31,11 @@
 // urgency, so that a request is refused in favor of requests that are at least as urgent,
 // and never in favor of requests that would queue behind it.
 type pressureEstimator struct {
-	fractions catkinrun.Pressure
-	demand    [catkinrun.ClassCount]float64 // slots, by class
-	arrivals  [catkinrun.ClassCount]float64 // requests per second, by class
-	sent      float64                       // requests per second that have arrived, without those that entry daemons refused
-	updatedAt time.Time
+	fractions   catkinrun.Pressure
+	demand      [catkinrun.ClassCount]float64 // slots, by class
+	arrivals    [catkinrun.ClassCount]float64 // requests per second, by class
+	arrivalRate float64                       // requests per second that have arrived, without those that entry daemons refused
+	updatedAt   time.Time
 }
 
 // recordArrival adds a request that needs a slot for the service time to the demand.
@@ -47,12 +47,9 @@
 	weight = min(max(1, weight), maxWeight)
 	p.demand[class] += serviceTime.Seconds() / demandDecayTime.Seconds() * weight
 	p.arrivals[class] += weight / arrivalDecayTime.Seconds()
-	p.sent += 1 / arrivalDecayTime.Seconds()
+	p.arrivalRate += 1 / arrivalDecayTime.Seconds()
 }
 
-// arrivalRate returns the requests per second that have arrived lately.
-func (p *pressureEstimator) arrivalRate() float64 { return p.sent }
-
 // update recomputes the pressure at time now for a server with the given concurrency limit, which
 // takes up to perSecond requests a second. backlog is the service time of the queued requests in
 // seconds, by class.
@@ -67,7 +64,7 @@
 	p.updatedAt = now
 	decay := math.Exp(-elapsed.Seconds() / demandDecayTime.Seconds())
 	arrivalDecay := math.Exp(-elapsed.Seconds() / arrivalDecayTime.Seconds())
-	p.sent *= arrivalDecay
+	p.arrivalRate *= arrivalDecay
 	available := targetUtilization * float64(limit)
 	perSecond *= targetUtilization
 	for class := range p.demand {
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -97,7 +97,7 @@
 	retired     map[int]*ledger       // of shards that this daemon has lost to another in this generation
 	handedOver  map[string]int        // by team: tokens received from the former owner
 	hosts       []string
-	candidates  []string // hosts that may be voters: those that are not leaving, whose row may stay after they have left
+	eligible    []string // hosts that may be voters: those that are not leaving, whose row may stay after they have left
 	voters      [voterGroupCount][]string
 	updatedAt   time.Duration
 	signs       map[string]lastSign // by host
--- a/broker/candidacy.go
+++ b/broker/candidacy.go
@@ -96,8 +96,7 @@
 	}
 	c.certain = shards.Without(failing)
 	for _, m := range members {
-		isVoter := slices.ContainsFunc(c.voters[:], func(group []string) bool { return slices.Contains(group, m.Host) })
-		if isVoter && m.Host != b.self.Host {
+		if b.isVoterLocked(m.Host) && m.Host != b.self.Host {
 			c.members[m.Host] = Owner{Host: m.Host, Peer: m.Peer, Incarnation: m.Incarnation}
 		}
 	}
--- a/broker/election.go
+++ b/broker/election.go
@@ -179,13 +179,13 @@
 // logClaimLocked logs what this daemon has seen of the owners whose shards it claims.
 func (b *Broker) logClaimLocked(shards ShardSet) {
 	for _, owner := range b.assignment.Owners {
-		if b.assignment.OwnedBy(owner)&shards == 0 {
+		claimed := b.assignment.OwnedBy(owner) & shards
+		if claimed == 0 {
 			continue
 		}
-		h, ok := b.health[owner.Host]
 		b.log.WithFields(logrus.Fields{
 			"owner": owner.Host, "generation": b.assignment.Generation, "failing-ms": b.failureTimeLocked(owner).Milliseconds(),
-			"process-ended": ok && h.owner == owner && h.gone, "shards": (b.assignment.OwnedBy(owner) & shards).Len(),
+			"process-ended": b.processEndedLocked(owner), "shards": claimed.Len(),
 		}).Info("broker: replacing an owner")
 	}
 }
--- a/broker/granting.go
+++ b/broker/granting.go
@@ -106,20 +106,20 @@
 
 func (b *Broker) updateHostsLocked() {
 	members := b.members.Members()
-	hosts, candidates := make([]string, 0, len(members)), make([]string, 0, len(members))
+	hosts, eligible := make([]string, 0, len(members)), make([]string, 0, len(members))
 	for _, m := range members {
 		hosts = append(hosts, m.Host)
 		if !m.Leaving {
-			candidates = append(candidates, m.Host)
+			eligible = append(eligible, m.Host)
 		}
 	}
-	if len(candidates) == 0 {
-		candidates = hosts // the whole fleet is shutting down
+	if len(eligible) == 0 {
+		eligible = hosts // the whole fleet is shutting down
 	}
-	if slices.Equal(hosts, b.hosts) && slices.Equal(candidates, b.candidates) {
+	if slices.Equal(hosts, b.hosts) && slices.Equal(eligible, b.eligible) {
 		return
 	}
-	b.hosts, b.candidates, b.voters = hosts, candidates, voters(candidates)
+	b.hosts, b.eligible, b.voters = hosts, eligible, voters(eligible)
 	for host := range b.supporters {
 		if _, found := slices.BinarySearch(hosts, host); !found {
 			delete(b.supporters, host)
@@ -134,8 +134,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateLocked(b.elapsed())
-	isVoter = slices.ContainsFunc(b.voters[:], func(group []string) bool { return slices.Contains(group, b.self.Host) })
-	return b.listed, isVoter
+	return b.listed, b.isVoterLocked(b.self.Host)
+}
+
+// isVoterLocked reports whether a host is among the voters of some shard.
+func (b *Broker) isVoterLocked(host string) bool {
+	return slices.ContainsFunc(b.voters[:], func(group []string) bool { return slices.Contains(group, host) })
 }
 
 // availableLocked returns the fraction of the rates that this owner may grant until the next
@@ -198,15 +202,19 @@
 // voter that has known the epoch for less than VoteTTL may still count for a former owner,
 // unless all of those have certainly stopped.
 func (b *Broker) hasMajorityLocked(m majority, now time.Duration) bool {
-	hosts := b.voters[m.group]
+	return 2*b.votesLocked(m, now) > len(b.voters[m.group])
+}
+
+// votesLocked returns the number of voters of a group that support this owner.
+func (b *Broker) votesLocked(m majority, now time.Duration) int {
 	count := 0
-	for _, host := range hosts {
+	for _, host := range b.voters[m.group] {
 		s, ok := b.supporters[host]
 		if ok && s.votesFor(m.epoch, now) && (m.formerStopped || s.settledIn(m.epoch, now)) {
 			count++
 		}
 	}
-	return 2*count > len(hosts)
+	return count
 }
 
 // logReadyLocked logs a change of the shards of which this daemon grants tokens.
@@ -224,15 +232,10 @@
 // countVotesLocked returns the valid votes for this daemon and the number of voters, of the
 // group in which it has the fewest.
 func (b *Broker) countVotesLocked(now time.Duration) (votes, voters int) {
-	for i, group := range b.voters {
-		count := 0
-		for _, host := range group {
-			if s, ok := b.supporters[host]; ok && s.votesFor(b.assignment.Generation, now) {
-				count++
-			}
-		}
-		if i == 0 || count < votes {
-			votes, voters = count, len(group)
+	for group := range voterGroupCount {
+		count := b.votesLocked(majority{group: group, epoch: b.assignment.Generation, formerStopped: true}, now)
+		if group == 0 || count < votes {
+			votes, voters = count, len(b.voters[group])
 		}
 	}
 	return votes, voters
--- a/broker/health.go
+++ b/broker/health.go
@@ -112,8 +112,14 @@
 	isMember := slices.ContainsFunc(members, func(m catkinrun.Member) bool {
 		return m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving
 	})
+	return !isMember || b.processEndedLocked(owner)
+}
+
+// processEndedLocked reports whether a response, or a refused connection, showed that an owner's
+// process has ended.
+func (b *Broker) processEndedLocked(owner Owner) bool {
 	h, ok := b.health[owner.Host]
-	return !isMember || ok && h.owner == owner && h.gone
+	return ok && h.owner == owner && h.gone
 }
 
 // failedLocked returns the shards whose tokens this daemon does not get from their owner, for
@@ -122,11 +128,10 @@
 	var failed ShardSet
 	for _, owner := range b.assignment.Owners {
 		owned := b.assignment.OwnedBy(owner)
-		h, ok := b.health[owner.Host]
 		switch {
 		case owner == b.self:
 			failed |= owned.Without(b.ready)
-		case ok && h.owner == owner && h.gone, b.failureTimeLocked(owner) >= confirmFailure:
+		case b.processEndedLocked(owner), b.failureTimeLocked(owner) >= confirmFailure:
 			failed |= owned
 		}
 	}
--- a/filterer/condition_test.go
+++ b/filterer/condition_test.go
@@ -15,22 +15,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
-	"github.com/catkinrun/catkinrun/admitter"
-	"github.com/catkinrun/catkinrun/clock"
-	"github.com/catkinrun/catkinrun/configurer"
-	"github.com/catkinrun/catkinrun/correlator"
-	"github.com/catkinrun/catkinrun/exchanger"
 	"github.com/catkinrun/catkinrun/filterer"
-	"github.com/catkinrun/catkinrun/journaler"
-	"github.com/catkinrun/catkinrun/limiter"
 	"github.com/catkinrun/catkinrun/locator"
-	"github.com/catkinrun/catkinrun/observer"
-	"github.com/catkinrun/catkinrun/platform"
-	"github.com/catkinrun/catkinrun/registrar"
-	"github.com/catkinrun/catkinrun/retrier"
-	"github.com/catkinrun/catkinrun/router"
-	"github.com/catkinrun/catkinrun/shedder"
-	"github.com/catkinrun/catkinrun/syncer"
 )
 
 // testDrainGrace is how long the daemons of a pair send requests to a leaving server.
@@ -94,36 +80,21 @@
 func (p *pair) start(host string) *filterer.Gateway {
 	p.t.Helper()
 	is := is.New(p.t)
-	system := clock.System{}
-	journal := journaler.New(system, io.Discard, logrus.InfoLevel)
-	log := journal.Logger()
-	self := catkinrun.Member{Host: host, Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
 	server := catkinrun.Server{ID: instance, Service: service, Slots: 500, StartUnixMilli: 1}
 	row, err := json.Marshal(catkinrun.Member{Host: "h", Zone: "z", Peer: p.peer, Incarnation: "n", Server: &server})
 	is.NoErr(err)
-	hosts := locator.New(log)
+	hosts := locator.New(logrus.New())
 	hosts.Apply(catkinrun.Page{Rows: []catkinrun.Row{{Key: locator.Key("h"), Value: row, Revision: 1}}, Revision: 1}, true)
-	reg := registrar.New(store{}, hosts, system, log, self, testDrainGrace)
+	deps := newDependencies(p.t, host, p.server, hosts, testDrainGrace)
 	if host == "h" {
-		reg.Restore(hosts.Row("h"))
+		deps.Registrar.Restore(hosts.Row("h"))
 	}
-	conf := configurer.New(system, log)
-	_, err = conf.Apply(catkinrun.SnapshotData{Version: 1, Resources: []catkinrun.Resource{{Kind: catkinrun.KindRoute, Name: "read", Route: &catkinrun.Route{
+	_, err = deps.Configurer.Apply(catkinrun.SnapshotData{Version: 1, Resources: []catkinrun.Resource{{Kind: catkinrun.KindRoute, Name: "read", Route: &catkinrun.Route{
 		Domain: "shop.example", Prefix: "/read/", Targets: []catkinrun.Target{{Service: service, Weight: 1}},
 		Idempotent: true, Timeout: catkinrun.Duration(time.Second), Attempts: 1,
 	}}}}, "test")
 	is.NoErr(err)
-	obs := observer.New(system, log, testDrainGrace)
-	adm := admitter.New(500, system)
-	go func() { _ = adm.Serve(p.t.Context()) }()
-	return filterer.NewGateway(&filterer.Dependencies{
-		Self: self, Service: "other", Server: p.server, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
-		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.99 }), Limiter: limiter.New(conf, hosts, ownerless{}, system, log, host),
-		Router: router.New(observer.NewMembers(hosts, obs), system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
-		Registrar: reg, Admitter: adm, Observer: obs, Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
-		Peers: exchanger.New(time.Second, time.Second, 64), Backend: exchanger.New(time.Second, time.Second, 64),
-		Stopping: func() bool { return false }, Clock: system, Journal: journal,
-	}, func() float64 { return 0.5 }, func(filterer.Listener, string, time.Duration) {})
+	return newGatewayOf(deps)
 }
 
 // load sends requests through the entry daemon at a rate for a while, and waits for their ends.
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -75,36 +75,51 @@
 func newStoppableGateway(t *testing.T, address string, stopping bool) *filterer.Gateway {
 	t.Helper()
 	is := is.New(t)
-	system := clock.System{}
-	journal := journaler.New(system, io.Discard, logrus.InfoLevel)
-	log := journal.Logger()
-	self := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
-	conf := configurer.New(system, log)
+	deps := newDependencies(t, "h", address, locator.New(logrus.New()), 0)
+	deps.Stopping = func() bool { return stopping }
 	route := func(name string, idempotent bool) catkinrun.Resource {
 		return catkinrun.Resource{Kind: catkinrun.KindRoute, Name: name, Route: &catkinrun.Route{
 			Domain: "shop.example", Prefix: "/" + name + "/", Targets: []catkinrun.Target{{Service: service, Weight: 1}},
 			Idempotent: idempotent, Timeout: catkinrun.Duration(time.Second), Attempts: 1,
 		}}
 	}
-	_, err := conf.Apply(catkinrun.SnapshotData{Version: 1, Resources: []catkinrun.Resource{
+	_, err := deps.Configurer.Apply(catkinrun.SnapshotData{Version: 1, Resources: []catkinrun.Resource{
 		route("read", true), route("order", false),
 		{Kind: catkinrun.KindTeam, Name: teamName, Team: &catkinrun.Team{Keys: []string{key}}},
 	}}, "test")
 	is.NoErr(err)
-	hosts := locator.New(log)
-	reg := registrar.New(store{}, hosts, system, log, self, 0)
-	reg.RecordAnnouncement(catkinrun.Server{ID: instance, Service: service, Slots: 8, Sequence: 1})
-	is.NoErr(reg.Publish(context.Background()))
+	deps.Registrar.RecordAnnouncement(catkinrun.Server{ID: instance, Service: service, Slots: 8, Sequence: 1})
+	is.NoErr(deps.Registrar.Publish(context.Background()))
+	return newGatewayOf(deps)
+}
+
+// newDependencies returns the components of a host's daemon whose server is at address. It has no
+// configuration, and sheds nothing before the highest pressure.
+func newDependencies(t *testing.T, host, address string, hosts *locator.Locator, drainGrace time.Duration) *filterer.Dependencies {
+	t.Helper()
+	system := clock.System{}
+	journal := journaler.New(system, io.Discard, logrus.InfoLevel)
+	log := journal.Logger()
+	self := catkinrun.Member{Host: host, Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
+	conf := configurer.New(system, log)
+	obs := observer.New(system, log, drainGrace)
 	adm := admitter.New(8, system)
-	return filterer.NewGateway(&filterer.Dependencies{
+	go func() { _ = adm.Serve(t.Context()) }()
+	return &filterer.Dependencies{
 		Self: self, Service: service, Server: address, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
-		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.5 }),
-		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, "h"),
-		Router:  router.New(hosts, system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
-		Registrar: reg, Admitter: adm, Observer: observer.New(system, log, 0), Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
-		Peers: exchanger.New(time.Second, time.Second, 4), Backend: exchanger.New(time.Second, time.Second, 4),
-		Stopping: func() bool { return stopping }, Clock: system, Journal: journal,
-	}, func() float64 { return 0.5 }, func(filterer.Listener, string, time.Duration) {})
+		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.99 }),
+		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, host),
+		Router:  router.New(observer.NewMembers(hosts, obs), system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
+		Registrar: registrar.New(store{}, hosts, system, log, self, drainGrace), Admitter: adm, Observer: obs,
+		Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
+		Peers:  exchanger.New(time.Second, time.Second, 64), Backend: exchanger.New(time.Second, time.Second, 64),
+		Stopping: func() bool { return false }, Clock: system, Journal: journal,
+	}
+}
+
+// newGatewayOf returns the gateway of a daemon with the given components.
+func newGatewayOf(deps *filterer.Dependencies) *filterer.Gateway {
+	return filterer.NewGateway(deps, func() float64 { return 0.5 }, func(filterer.Listener, string, time.Duration) {})
 }
 
 // serveRaw starts a server that responds to each request with the bytes that the response
--- a/observer/members.go
+++ b/observer/members.go
@@ -22,11 +22,5 @@
 // Serving returns the members that accept new requests of a service. The caller must not modify
 // the list.
 func (m Members) Serving(service string) []catkinrun.Member {
-	members := m.locator.Serving(service)
-	for _, member := range members {
-		if m.observer.isLeaving(member) {
-			return m.observer.withoutLeaving(members)
-		}
-	}
-	return members
+	return m.observer.withoutLeaving(m.locator.Serving(service))
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -162,35 +162,25 @@
 	return n != nil && n.Leaving && n.Server == server && n.LeavingFor >= o.drainGrace
 }
 
-// isLeaving reports whether a member's server has stated that it is leaving.
-func (o *Observer) isLeaving(m catkinrun.Member) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.leavingSinceLocked(m) != nil
-}
-
 // withoutLeaving returns the members whose server has not stated that it is leaving. If there are
-// none, it returns those that may still get requests.
+// none, it returns those that may still get requests. It does not modify the list.
 func (o *Observer) withoutLeaving(members []catkinrun.Member) []catkinrun.Member {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	staying := slices.DeleteFunc(slices.Clone(members), func(m catkinrun.Member) bool { return o.leavingSinceLocked(m) != nil })
-	if len(staying) > 0 {
+	if !slices.ContainsFunc(members, o.isLeavingLocked) {
+		return members
+	}
+	if staying := slices.DeleteFunc(slices.Clone(members), o.isLeavingLocked); len(staying) > 0 {
 		return staying
 	}
 	now := o.clock.Now()
 	return slices.DeleteFunc(slices.Clone(members), func(m catkinrun.Member) bool {
-		since := o.leavingSinceLocked(m)
-		return since != nil && now.Sub(*since) >= o.drainGrace
+		return now.Sub(o.servers[m.Host].leavingSince) >= o.drainGrace
 	})
 }
 
-// leavingSinceLocked returns when a member's server first stated that it is leaving, nil if it has
-// not.
-func (o *Observer) leavingSinceLocked(m catkinrun.Member) *time.Time {
-	s, ok := o.servers[m.Host]
-	if !ok || !s.leaving || m.Server == nil || m.Server.Start() != s.server {
-		return nil
-	}
-	return &s.leavingSince
+// isLeavingLocked reports whether a member's server has stated that it is leaving.
+func (o *Observer) isLeavingLocked(m catkinrun.Member) bool {
+	s := o.servers[m.Host]
+	return s.leaving && m.Server != nil && m.Server.Start() == s.server
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -132,18 +132,17 @@
 		r.endLocked(*previous)
 	}
 	r.coldUntil = r.clock.Now().Add(s.ColdLeft)
-	announcesDrain := s.Draining
-	if previous != nil && previous.ID == s.ID && previous.StartUnixMilli == s.StartUnixMilli && previous.Draining {
+	announcesDrain, sameStart := s.Draining, previous != nil && previous.Start() == s.Start()
+	if sameStart && previous.Draining {
 		s.Draining = true // a draining server becomes ready again only after a restart
 	}
 	r.startDrainLocked(s, previous)
 	r.announced, r.down = true, false
-	if previous == nil || previous.Start() != s.Start() || announcesDrain {
+	if !sameStart || announcesDrain {
 		r.unannounced = false
 	}
 	r.self = r.self.WithServer(&s)
-	if previous != nil && previous.ID == s.ID && previous.StartUnixMilli == s.StartUnixMilli && previous.Service == s.Service &&
-		previous.Slots == s.Slots && previous.Draining == s.Draining {
+	if sameStart && previous.Service == s.Service && previous.Slots == s.Slots && previous.Draining == s.Draining {
 		return nil
 	}
 	r.log.WithFields(logrus.Fields{
@@ -156,11 +155,19 @@
 // is no grace period if the server has not announced itself to this incarnation of the
 // daemon before, since it may have started draining during an earlier one.
 func (r *Registrar) startDrainLocked(s catkinrun.Server, previous *catkinrun.Server) {
-	if r.announced && s.Draining && previous != nil && previous.ID == s.ID && previous.StartUnixMilli == s.StartUnixMilli && !previous.Draining {
+	if r.announced && s.Draining && previous != nil && previous.Start() == s.Start() && !previous.Draining {
 		r.acceptUntil = r.clock.Now().Add(r.drainGrace)
 	}
 }
 
+// drainLocked records that the current server is draining.
+func (r *Registrar) drainLocked(current *catkinrun.Server) {
+	draining := *current
+	draining.Draining = true
+	r.startDrainLocked(draining, current)
+	r.self = r.self.WithServer(&draining)
+}
+
 // MarkLeaving records that a server states in its responses that it is leaving, which other daemons
 // may have seen before a restart of this one.
 func (r *Registrar) MarkLeaving(start string) {
@@ -170,12 +177,9 @@
 	if current == nil || current.Start() != start || current.Draining {
 		return
 	}
-	leaving := *current
-	leaving.Draining = true
-	r.startDrainLocked(leaving, current)
+	r.drainLocked(current)
 	r.unannounced = true
-	r.self = r.self.WithServer(&leaving)
-	r.log.WithFields(logrus.Fields{"server": leaving.ID, "service": leaving.Service}).Info("registrar: server is leaving")
+	r.log.WithFields(logrus.Fields{"server": current.ID, "service": current.Service}).Info("registrar: server is leaving")
 	r.publishLocked()
 }
 
@@ -199,16 +203,12 @@
 		return nil
 	}
 	r.endLocked(*current)
-	last := *current
-	last.Draining = true
-	r.startDrainLocked(last, current)
-	announced := current.Draining && !r.unannounced
-	r.unannounced = false
-	if announced {
+	if current.Draining && !r.unannounced {
 		r.self = r.self.WithServer(nil)
 	} else {
-		r.self = r.self.WithServer(&last)
+		r.drainLocked(current)
 	}
+	r.unannounced = false
 	r.log.WithFields(logrus.Fields{"server": id, "service": current.Service, "draining-before": current.Draining}).Info("registrar: server deregistered")
 	return r.publishLocked()
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -93,8 +93,8 @@
 func (r *Relayer) List(ctx context.Context, name string) (catkinrun.Page, error) {
 	page, err := r.Store.List(ctx, name)
 	direct := err == nil
-	if helper, ok := r.nextHelper(); !direct && ok && ctx.Err() == nil {
-		page, err = r.listThrough(ctx, helper, name, err)
+	if !direct && ctx.Err() == nil {
+		page, err = r.listThroughOther(ctx, name, err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -125,9 +125,13 @@
 	return others[r.helpers%len(others)], true
 }
 
-// listThrough has another daemon read a table. It fails with storeErr, the error of the store, if
-// that daemon cannot do so either.
-func (r *Relayer) listThrough(ctx context.Context, helper catkinrun.Member, name string, storeErr error) (catkinrun.Page, error) {
+// listThroughOther has another daemon read a table. It fails with storeErr, the error of the store, if
+// there is none or it cannot do so either.
+func (r *Relayer) listThroughOther(ctx context.Context, name string, storeErr error) (catkinrun.Page, error) {
+	helper, ok := r.nextHelper()
+	if !ok {
+		return catkinrun.Page{}, storeErr
+	}
 	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
 	response, err := r.ask(ctx, helper, &Request{Table: name, List: true})
