Stand-in store: restores a backup, which begins a new era

What callers saw: nothing, no product code changes. Cause: the users' store may come back from a copy some seconds old; the stand-in could not. Ruled out: a flag among the faults, since a restore is an event and needs a backup. Change: Backup, Restore, PUT /backup and PUT /restore, the header Store-Era in all responses, and 410 for a watch after a revision that does not exist.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,7 +1,7 @@
 // Package platform is an in-memory stand-in for the platform's store of rows. It has
 // transactions with preconditions, listings, a change feed with a history that can be
 // dropped, and rate limits. Faults can be injected: an outage for all callers or for some,
-// lost responses and a dropped history.
+// lost responses, a dropped history, and a restore from a backup.
 package platform
 
 import (
@@ -50,6 +50,7 @@
 	Truncated bool   `json:"truncated"`
 	Version   uint64 `json:"row_version"`
 	Now       string `json:"now"`
+	era       uint64 // sent in a header
 }
 
 // rowID identifies a row.
@@ -72,6 +73,8 @@
 	reads          int
 	writes         int
 	calls          map[string]int // by path
+	era            uint64         // number of restores
+	backup         *Backup        // for PUT /restore
 }
 
 // New returns an empty store.
@@ -82,13 +85,15 @@
 	}
 }
 
-// Handler serves the store's calls and PUT /faults.
+// Handler serves the store's calls, PUT /faults, PUT /backup and PUT /restore.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /catkinrun/rows-tx", s.withLimits(true, s.serveTransaction))
 	mux.HandleFunc("GET /catkinrun/rows-get", s.withLimits(false, s.serveGet))
 	mux.HandleFunc("GET /catkinrun/rows-feed", s.withLimits(false, s.serveFeed))
 	mux.HandleFunc("PUT /faults", s.serveFaults)
+	mux.HandleFunc("PUT /backup", s.serveBackup)
+	mux.HandleFunc("PUT /restore", s.serveRestore)
 	return mux
 }
 
@@ -132,6 +137,7 @@
 func (s *Store) withLimits(write bool, next func(http.ResponseWriter, *http.Request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if status := s.checkLimits(write, r); status != http.StatusOK {
+			s.setEra(w)
 			w.WriteHeader(status)
 			return
 		}
@@ -139,6 +145,13 @@
 	}
 }
 
+// setEra sets the header with the present era.
+func (s *Store) setEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) checkLimits(write bool, r *http.Request) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -218,7 +231,7 @@
 		rows = []Row{}
 	}
 	now := s.clock.Now().Sub(s.startedAt)
-	return page{Rows: rows, Version: s.version, Now: strconv.FormatInt(now.Milliseconds(), 10) + "ms"}
+	return page{Rows: rows, Version: s.version, Now: strconv.FormatInt(now.Milliseconds(), 10) + "ms", era: s.era}
 }
 
 // maxPageRows is the maximum number of rows in a listing, and the default.
@@ -277,10 +290,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return http.StatusServiceUnavailable, page{}, nil
+		return http.StatusServiceUnavailable, s.pageLocked(nil), nil
 	}
-	if after < s.droppedVersion {
-		return http.StatusGone, page{}, nil
+	if after < s.droppedVersion || after > s.version {
+		return http.StatusGone, s.pageLocked(nil), nil
 	}
 	var rows []Row
 	for _, row := range s.history {
@@ -293,6 +306,7 @@
 
 func writePage(w http.ResponseWriter, status int, result page) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(eraHeader, strconv.FormatUint(result.era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(result) // the caller may have closed the connection
 }
