Store: the era that responses state is logged and measured

Cause: the header was not read. Ruled out: inferring it from a lower revision, which a daemon that reconnects late never sees. Change: one log line for each new era, metric catkinrun_store_era. No decision uses it yet.

--- a/commander/client.go
+++ b/commander/client.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/catkinrun/catkinrun"
@@ -39,7 +41,14 @@
 	if s.address == "" {
 		return nil, &UsageError{Cause: &catkinrun.InvalidError{Where: "flag", Field: "store", Reason: "set --store or " + storeEnvVar}}
 	}
-	return platform.NewStore(s.address, http.DefaultClient, callTimeout), nil
+	return platform.NewStore(s.address, http.DefaultClient, callTimeout, discardLog()), nil
+}
+
+// discardLog returns the log of a command, whose output goes to its terminal.
+func discardLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
 }
 
 // configuration is the configuration that was read, with its row as stored.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,6 +87,7 @@
 	log         *logrus.Logger
 	metrics     *metrics.Set
 
+	store         *platform.Store
 	configuration *follower.Follower
 	members       *follower.Follower
 	configurer    *configurer.Configurer
@@ -127,7 +128,8 @@
 	self := catkinrun.Member{Host: s.Host, Zone: s.Zone, Peer: s.Listen.Peer, Operator: s.Listen.Operator, Incarnation: d.incarnation}
 	peers := exchanger.New(dialTimeout, peerIdleTimeout, maxIdlePeerConns)
 	d.peerClient = messenger.New(&http.Client{Transport: peers.Transport()})
-	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdleTimeout, maxIdleStoreConns)}, time.Duration(s.Times.Store))
+	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdleTimeout, maxIdleStoreConns)}, time.Duration(s.Times.Store), d.log)
+	d.store = store
 	d.configurer = configurer.New(d.clock, d.log)
 	d.locator = locator.New(d.log)
 	drainGrace := time.Duration(drainServeFraction * float64(s.Times.Drain))
