--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -21,6 +21,8 @@
 	"github.com/catkinrun/catkinrun/clock"
 	"github.com/catkinrun/catkinrun/configurer"
 	"github.com/catkinrun/catkinrun/limiter"
+	"github.com/catkinrun/catkinrun/platform"
+	standin "github.com/catkinrun/catkinrun/standin/platform"
 )
 
 // A liveFleet runs the real goroutines of many daemons in the fake time of a synctest bubble.
@@ -58,12 +60,16 @@
 	end     context.CancelFunc
 }
 
-// liveStore holds the assignment's row and passes changes on to all daemons.
+// liveStore is the store that holds the assignment's row. It passes changes on to all daemons.
 type liveStore struct {
-	catkinrun.Store
-	fleet *liveFleet
-	mu    sync.Mutex
-	row   catkinrun.Row
+	*platform.Store
+	fleet  *liveFleet
+	server *standin.Store
+}
+
+func newLiveStore(f *liveFleet) *liveStore {
+	server := standin.New(clock.System{}, standin.Limits{})
+	return &liveStore{Store: platform.NewStore("store", server.Client(), callTimeout, f.log), fleet: f, server: server}
 }
 
 const (
@@ -75,26 +81,32 @@
 	settleTime = 8 * time.Second
 )
 
-func (s *liveStore) Commit(_ context.Context, t catkinrun.Transaction) (catkinrun.Page, error) {
+func (s *liveStore) Commit(ctx context.Context, t catkinrun.Transaction) (catkinrun.Page, error) {
 	time.Sleep(storeDelay)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if t.Writes[0].Delete {
 		return catkinrun.Page{Revision: 2}, nil
 	}
-	if t.Preconditions[0].Revision != s.row.Revision {
-		return catkinrun.Page{}, &catkinrun.PreconditionError{Key: t.Preconditions[0].Key, Current: s.row}
+	page, err := s.Store.Commit(ctx, t)
+	if err == nil {
+		time.AfterFunc(storeDelay, func() { s.deliver(false) })
 	}
-	s.row = catkinrun.Row{Key: t.Writes[0].Key, Value: t.Writes[0].Value, Revision: s.row.Revision + 1}
-	row := s.row
-	time.AfterFunc(storeDelay, func() {
-		for _, h := range s.fleet.hosts {
-			if !h.cut.Load() && !h.crashed.Load() {
-				h.current.Load().broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{row}}, false)
-			}
+	return page, err
+}
+
+// deliver passes the table on to the daemons that the store reaches.
+func (s *liveStore) deliver(complete bool) {
+	page := s.list()
+	for _, h := range s.fleet.hosts {
+		if !h.cut.Load() && !h.crashed.Load() {
+			h.current.Load().broker.Apply(page, complete)
 		}
-	})
-	return catkinrun.Page{Revision: row.Revision}, nil
+	}
+}
+
+// restore restores a backup of the store, whose tables all daemons that it reaches then list.
+func (s *liveStore) restore(b standin.Backup) {
+	s.server.Restore(b)
+	s.deliver(true)
 }
 
 func (f *liveFleet) Members() []catkinrun.Member { return *f.members.Load() }
@@ -115,12 +127,11 @@
 
 // list returns all rows of the table.
 func (s *liveStore) list() catkinrun.Page {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.row.Revision == 0 {
-		return catkinrun.Page{}
+	page, err := s.List(context.Background(), ownerTable)
+	if err != nil {
+		panic(err)
 	}
-	return catkinrun.Page{Rows: []catkinrun.Row{s.row}, Revision: s.row.Revision}
+	return page
 }
 
 // publish changes the member row of a host.
@@ -197,9 +208,9 @@
 func startFleet(t *testing.T, hosts int, teams []catkinrun.Team) *liveFleet {
 	t.Helper()
 	f := &liveFleet{teams: teams, patience: defaultPatience, servedAt: make(map[string][]time.Time)}
-	f.store = &liveStore{fleet: f}
 	f.log = logrus.New()
 	f.log.SetOutput(io.Discard)
+	f.store = newLiveStore(f)
 	f.snapshots = configurer.New(clock.System{}, f.log)
 	var resources []catkinrun.Resource
 	for i := range teams {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -62,17 +62,21 @@
 	return m
 }
 
+func discardLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 func newRegistrar() (*registrar.Registrar, *store, *locator.Locator) {
 	return newRegistrarWithGrace(clock.NewFake(), 0)
 }
 
 func newRegistrarWithGrace(c catkinrun.Clock, drainGrace time.Duration) (*registrar.Registrar, *store, *locator.Locator) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	s := &store{rows: make(map[string]catkinrun.Row)}
-	l := locator.New(log)
+	l := locator.New(discardLog())
 	self := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
-	return registrar.New(s, l, c, log, self, drainGrace), s, l
+	return registrar.New(s, l, c, discardLog(), self, drainGrace), s, l
 }
 
 func TestLateAnnouncementOfEndedServerIsIgnored(t *testing.T) {
--- /dev/null
+++ b/relayer/restore_test.go
@@ -0,0 +1,92 @@
+package relayer_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/follower"
+	"github.com/catkinrun/catkinrun/platform"
+	"github.com/catkinrun/catkinrun/relayer"
+	standin "github.com/catkinrun/catkinrun/standin/platform"
+)
+
+// restoredFleet is a number of daemons of one zone that follow a table of a store that can be restored.
+type restoredFleet struct {
+	members  []catkinrun.Member
+	relayers map[string]*relayer.Relayer
+	seen     map[string]*string // by host: value of the last row
+}
+
+func (f *restoredFleet) Members() []catkinrun.Member { return f.members }
+
+func (f *restoredFleet) ask(ctx context.Context, watcher catkinrun.Member, request *relayer.Request) (*relayer.Response, error) {
+	return f.relayers[watcher.Host].Handle(ctx, request)
+}
+
+func startRestoredFleet(t *testing.T, server *standin.Store, count int) *restoredFleet {
+	f := &restoredFleet{relayers: make(map[string]*relayer.Relayer), seen: make(map[string]*string)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(t.Context())
+	for i := range count {
+		m := catkinrun.Member{Host: string(rune('a' + i)), Zone: "z"}
+		f.members = append(f.members, m)
+		f.relayers[m.Host] = relayer.New(platform.NewStore("store", server.Client(), time.Second, log), f, f.ask, log, m)
+		f.seen[m.Host] = new(string)
+	}
+	for host, r := range f.relayers {
+		seen := f.seen[host]
+		follow := follower.New(r, clock.System{}, log, tableName, 0, func(page catkinrun.Page, _ bool) {
+			for _, row := range page.Rows {
+				*seen = string(row.Value)
+			}
+		})
+		go func() { _ = follow.Serve(ctx) }()
+	}
+	t.Cleanup(func() { cancel(); time.Sleep(time.Minute) }) // calls to the store end
+	time.Sleep(30 * time.Second)
+	return f
+}
+
+// TestChangeAfterRestoreReachesAllThroughWatchers restores a backup from many revisions ago. Daemons
+// that ask a watcher used to name their former revision, and got no change below it.
+func TestChangeAfterRestoreReachesAllThroughWatchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := standin.New(clock.System{}, standin.Limits{})
+		operator := platform.NewStore("store", server.Client(), time.Second, logrus.New())
+		put := func(value string) {
+			_, err := operator.Commit(context.Background(), catkinrun.Transaction{Writes: []catkinrun.Write{{Table: tableName, Key: "k", Value: []byte(value)}}})
+			is.NoErr(err)
+		}
+		put("first")
+		backup := server.Backup()
+		f := startRestoredFleet(t, server, 8)
+		for range 20 {
+			put("lost")
+		}
+		time.Sleep(3 * time.Second)
+		server.SetFaults(standin.Faults{Down: true})
+		time.Sleep(2 * time.Second)
+		server.Restore(backup)
+		server.SetFaults(standin.Faults{})
+		time.Sleep(3 * time.Second)
+		before := server.Calls()["/catkinrun/rows-get"]
+		put("confirmed")
+		time.Sleep(2 * time.Second)
+		for _, m := range f.members {
+			if *f.seen[m.Host] != "confirmed" {
+				t.Errorf("%s has %q", m.Host, *f.seen[m.Host])
+			}
+		}
+		is.Equal(server.Calls()["/catkinrun/rows-get"], before)
+	})
+}
