Store: a revision is the era and the count, so that no count of a former era is compared

What callers saw: after the store was restored from a backup, a confirmed change was not in force, rows of hosts were neither read nor written again, and owners that failed were not replaced. Cause: the store's count of transactions went back, and follower, relayer, locator, registrar, broker and syncer compare counts as if it never did. Class: an order taken from a counter whose owner may lose it. TestChangeAfterRestoreReachesAllThroughWatchers: six of eight daemons asked their watchers for changes after a revision that had been lost. Ruled out: dropping everything known at a change of era, since a daemon that misses the change compares on; comparing in each package, which is seven places. Change: Revision has the era in its high bits; the adapter alone makes it and takes it apart. A transaction over a row of a former era is not sent, or reported as EraError if the era began meanwhile.

--- a/errors.go
+++ b/errors.go
@@ -27,7 +27,18 @@
 }
 
 func (e *HistoryError) Error() string {
-	return fmt.Sprintf("store: changes of table %s after revision %d are no longer available", e.Table, e.After)
+	return fmt.Sprintf("store: changes of table %s after revision %d of era %d are no longer available", e.Table, e.After.Count(), e.After.Era())
+}
+
+// EraError reports that the store has been restored from a backup since a row was read, or while a
+// call was made. The table must be listed again.
+type EraError struct {
+	Era    uint64 // that the call assumed
+	Latest uint64
+}
+
+func (e *EraError) Error() string {
+	return fmt.Sprintf("store: restored from a backup: the era is %d, not %d", e.Latest, e.Era)
 }
 
 // PreconditionError reports that a precondition of a transaction failed, so that nothing was
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -41,6 +41,7 @@
 
 	revision    catkinrun.Revision
 	listed      bool
+	fresh       bool // no watch has succeeded since the table was listed
 	backoff     time.Duration
 	failing     atomic.Bool
 	respondedAt atomic.Int64 // clock reading at the last response or the start, in nanoseconds
@@ -87,19 +88,23 @@
 			return err
 		}
 		f.apply(page, true)
-		f.listed, f.revision = true, page.Revision
+		f.listed, f.fresh, f.revision = true, true, page.Revision
 		return nil
 	}
 	page, err := f.store.Watch(ctx, f.table, f.revision, watchTimeout)
 	var historyErr *catkinrun.HistoryError
 	if errors.As(err, &historyErr) {
 		f.listed = false
-		f.log.WithFields(logrus.Fields{"table": f.table, "after": f.revision}).Info("follower: store no longer has the history, listing the table again")
+		f.log.WithFields(logrus.Fields{"table": f.table, "after": f.revision.Count(), "era": f.revision.Era()}).Info("follower: store no longer has the history, listing the table again")
+		if f.fresh {
+			return err // listing again at once might go on for ever
+		}
 		return nil
 	}
 	if err != nil {
 		return err
 	}
+	f.fresh = false
 	f.revision = max(f.revision, page.Revision)
 	if len(page.Rows) == 0 {
 		return nil
