Members, configuration: a watcher that has listed a table since passes on all of its rows

What callers saw: nothing yet. After a restore, or a dropped history, every daemon listed both tables itself: at 13,000 hosts 26 pages of members each. Cause: a watcher refused requests for changes from before its last listing. Ruled out: having daemons wait longer before they list, which delays a configuration. Change: such a response is complete and says so; the follower applies it as a listing. A daemon that reconnects before its watchers do still lists by itself.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -106,10 +106,10 @@
 	}
 	f.fresh = false
 	f.revision = max(f.revision, page.Revision)
-	if len(page.Rows) == 0 {
+	if len(page.Rows) == 0 && !page.Complete {
 		return nil
 	}
-	f.apply(page, false)
+	f.apply(page, page.Complete)
 	return f.clock.Wait(ctx, f.pause)
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -4,7 +4,8 @@
 // A daemon that is not a watcher asks the watchers of its zone in turn for the changes of a
 // table. A watcher that is cut off from the store therefore delays a change by one turn at
 // most. If a watcher does not answer, or its own calls to the store fail, the daemon watches
-// the store itself for once.
+// the store itself for once. A watcher that has listed the table since the requested revision, because the
+// history was dropped or the store restored, passes on all rows, so that not every daemon lists it.
 package relayer
 
 import (
@@ -46,7 +47,8 @@
 type Response struct {
 	Rows     []catkinrun.Row    `cbor:"rows,omitempty"`
 	Revision catkinrun.Revision `cbor:"revision"`
-	Usable   bool               `cbor:"usable"` // the daemon has all that was asked for from the store
+	Usable   bool               `cbor:"usable"`             // the daemon has all that was asked for from the store
+	Complete bool               `cbor:"complete,omitempty"` // these are all rows, since the changes after the requested revision are not known
 }
 
 // Members lists the hosts.
@@ -101,9 +103,7 @@
 	t := r.tableLocked(name)
 	t.watched = direct
 	if err == nil {
-		t.rows = make(map[string]catkinrun.Row, len(page.Rows))
-		t.listedAt = page.Revision
-		t.add(page)
+		t.replace(page)
 	}
 	return page, err
 }
@@ -199,13 +199,12 @@
 	if !response.Usable {
 		return catkinrun.Page{}, &UnusableError{Host: watcher.Host}
 	}
-	page := catkinrun.Page{Rows: response.Rows, Revision: response.Revision}
+	page := catkinrun.Page{Rows: response.Rows, Revision: response.Revision, Complete: response.Complete}
 	r.record(name, page, nil, false)
 	return page, nil
 }
 
-// UnusableError reports that a daemon does not watch the store at the moment, or lacks
-// changes after the requested revision.
+// UnusableError reports that a daemon does not watch the store at the moment.
 type UnusableError struct {
 	Host string
 }
@@ -218,7 +217,10 @@
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
 	t.watched = direct && err == nil
-	if err == nil {
+	switch {
+	case err == nil && page.Complete:
+		t.replace(page)
+	case err == nil:
 		t.add(page)
 	}
 	if !t.watched {
@@ -235,6 +237,13 @@
 	return t
 }
 
+// replace replaces the copy by a complete page.
+func (t *table) replace(page catkinrun.Page) {
+	t.rows = make(map[string]catkinrun.Row, len(page.Rows))
+	t.listedAt = page.Revision
+	t.add(page)
+}
+
 func (t *table) add(page catkinrun.Page) {
 	for _, row := range page.Rows {
 		if row.Revision >= t.rows[row.Key].Revision {
@@ -261,7 +270,7 @@
 	}
 	for {
 		response, changed := r.respond(request)
-		if !response.Usable || len(response.Rows) > 0 {
+		if !response.Usable || response.Complete || len(response.Rows) > 0 {
 			return response, nil
 		}
 		select {
@@ -288,12 +297,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(request.Table)
-	response = &Response{Revision: t.revision, Usable: t.watched && request.After >= t.listedAt}
+	response = &Response{Revision: t.revision, Usable: t.watched, Complete: t.watched && request.After < t.listedAt}
 	if !response.Usable {
 		return response, t.changed
 	}
 	for _, row := range t.rows {
-		if row.Revision > request.After {
+		if response.Complete && !row.Deleted || !response.Complete && row.Revision > request.After {
 			response.Rows = append(response.Rows, row)
 		}
 	}
