Members: rows that a restored store lacks stay in use until they are written again

By test: a server that joined in the lost seconds gets no requests, and one that drains gets some, until its host has written its row again. Cause: the listing of a backup was taken for the newest state. Writing every row again after a restore: 13,000 writes; only rows that are missing or differ are written. Change: the first listing of a new era replaces no newer row; 5 s later the table is listed once more.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -25,6 +25,9 @@
 	// outage.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// restoreGrace is the time after which a table is listed again when the store has been restored
+	// from a backup: until then the daemons write their rows again.
+	restoreGrace = 5 * time.Second
 )
 
 // Apply processes rows of a table; complete reports whether they are all rows of the table.
@@ -40,8 +43,11 @@
 	apply Apply
 
 	revision    catkinrun.Revision
+	started     bool   // the table has been listed since the start
+	era         uint64 // latest that a response was from
 	listed      bool
-	fresh       bool // no watch has succeeded since the table was listed
+	relistAt    time.Time // zero if no further listing is due
+	fresh       bool      // no watch has succeeded since the table was listed
 	backoff     time.Duration
 	failing     atomic.Bool
 	respondedAt atomic.Int64 // clock reading at the last response or the start, in nanoseconds
@@ -82,16 +88,20 @@
 
 // Step makes one call and applies what it returns.
 func (f *Follower) Step(ctx context.Context) error {
+	if !f.relistAt.IsZero() && !f.clock.Now().Before(f.relistAt) {
+		f.relistAt, f.revision = time.Time{}, 0 // a watch from the beginning returns all rows, or a lost history
+	}
 	if !f.listed {
 		page, err := f.store.List(ctx, f.table)
 		if err != nil {
 			return err
 		}
 		f.apply(page, true)
-		f.listed, f.fresh, f.revision = true, true, page.Revision
+		f.listed, f.fresh = true, true
+		f.recordRevision(page)
 		return nil
 	}
-	page, err := f.store.Watch(ctx, f.table, f.revision, watchTimeout)
+	page, err := f.store.Watch(ctx, f.table, f.revision, f.watchTimeout())
 	var historyErr *catkinrun.HistoryError
 	if errors.As(err, &historyErr) {
 		f.listed = false
@@ -105,7 +115,7 @@
 		return err
 	}
 	f.fresh = false
-	f.revision = max(f.revision, page.Revision)
+	f.recordRevision(page)
 	if len(page.Rows) == 0 && !page.Complete {
 		return nil
 	}
@@ -113,6 +123,23 @@
 	return f.clock.Wait(ctx, f.pause)
 }
 
+// watchTimeout returns how long the next watch may wait.
+func (f *Follower) watchTimeout() time.Duration {
+	if f.relistAt.IsZero() {
+		return watchTimeout
+	}
+	return min(watchTimeout, max(0, f.relistAt.Sub(f.clock.Now())))
+}
+
+// recordRevision records the position from which the next watch continues.
+func (f *Follower) recordRevision(page catkinrun.Page) {
+	if f.started && page.Revision.Era() > f.era {
+		f.relistAt = f.clock.Now().Add(restoreGrace)
+	}
+	f.started, f.era = true, max(f.era, page.Revision.Era())
+	f.revision = max(f.revision, page.Revision)
+}
+
 func (f *Follower) recordSuccess() {
 	f.respondedAt.Store(f.clock.Now().UnixNano())
 	f.backoff = minBackoff
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -92,3 +92,30 @@
 	c.Advance(3 * time.Second)
 	is.Equal(f.Age(), 3*time.Second) // since the start
 }
+
+// TestTableIsListedAgainSomeTimeAfterRestore checks that rows which nobody has written again since a
+// restore are removed by a further listing, and that a watch does not wait beyond it.
+func TestTableIsListedAgainSomeTimeAfterRestore(t *testing.T) {
+	is := is.New(t)
+	restored := catkinrun.NewRevision(1, 2)
+	s := &store{responses: []response{
+		{page: page(1)}, {err: &catkinrun.HistoryError{}}, {page: page(restored, "a")}, {page: page(restored)}, {err: &catkinrun.HistoryError{}}, {page: page(restored, "a")}, {page: page(restored)},
+	}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := clock.NewFake()
+	f := follower.New(s, c, log, "t", 0, func(catkinrun.Page, bool) {})
+	is.NoErr(f.Step(context.Background()))
+	_ = f.Step(context.Background()) // the history is lost
+	is.NoErr(f.Step(context.Background()))
+	is.NoErr(f.Step(context.Background()))
+	c.Advance(5 * time.Second)
+	_ = f.Step(context.Background()) // a watch from the beginning
+	is.NoErr(f.Step(context.Background()))
+	c.Advance(time.Hour)
+	is.NoErr(f.Step(context.Background()))
+	is.Equal(s.calls[2], "list")
+	is.Equal(s.calls[4], "watch after 0")
+	is.Equal(s.calls[5], "list")
+	is.Equal(len(s.calls), 7)
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -27,7 +28,9 @@
 	log logrus.FieldLogger
 
 	mu       sync.Mutex
-	rows     map[string]catkinrun.Row
+	rows     map[string]catkinrun.Row      // as in the store
+	held     map[string]catkinrun.Row      // rows of the former era that are used in place of those in the store
+	era      uint64                        // of the last complete listing
 	members  map[string]catkinrun.Member   // by host
 	serving  map[string][]catkinrun.Member // by service, members that accept new requests
 	leaving  map[string][]catkinrun.Member // by service, members that are leaving or whose server is draining
@@ -36,23 +39,46 @@
 
 // New returns a locator without members.
 func New(log logrus.FieldLogger) *Locator {
-	l := &Locator{log: log, rows: make(map[string]catkinrun.Row)}
+	l := &Locator{log: log, rows: make(map[string]catkinrun.Row), held: make(map[string]catkinrun.Row)}
 	l.indexLocked()
 	return l
 }
 
-// Apply merges rows of the members table; an older row never replaces a newer one. If
+// Apply merges rows that the store has returned; an older row never replaces a newer one. If
 // complete is true, page has all rows of the table, and rows that page lacks are removed
 // unless they are newer than page. A host whose row cannot be decoded is not a member.
+//
+// The first listing of a new era is that of a backup: a row that it lacks, or has in an earlier state, stays in
+// use until the host has written it again, or the table is listed once more.
 func (l *Locator) Apply(page catkinrun.Page, complete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if complete && page.Revision.Era() == l.era {
+		clear(l.held)
+	}
+	l.mergeLocked(page, complete)
+}
+
+// Merge merges all rows that another daemon has, like a complete listing.
+func (l *Locator) Merge(page catkinrun.Page) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mergeLocked(page, true)
+}
+
+func (l *Locator) mergeLocked(page catkinrun.Page, complete bool) {
+	if complete && page.Revision.Era() < l.era {
+		return // from before a restore
+	}
 	if complete {
 		l.removeUnlistedLocked(page)
 	}
 	for _, row := range page.Rows {
 		if strings.HasPrefix(row.Key, keyPrefix) && row.Revision >= l.rows[row.Key].Revision {
 			l.rows[row.Key] = row
+			if !complete {
+				delete(l.held, row.Key)
+			}
 		}
 	}
 	l.revision = max(l.revision, page.Revision)
@@ -61,19 +87,47 @@
 
 // removeUnlistedLocked removes the rows that a complete listing lacks, except newer ones.
 func (l *Locator) removeUnlistedLocked(page catkinrun.Page) {
+	listed := make(map[string]catkinrun.Row, len(page.Rows))
+	for _, row := range page.Rows {
+		listed[row.Key] = row
+	}
+	restored := page.Revision.Era() > l.era
+	l.era = page.Revision.Era()
 	for key, row := range l.rows {
-		listed := slices.ContainsFunc(page.Rows, func(r catkinrun.Row) bool { return r.Key == key })
-		if !listed && row.Revision <= page.Revision {
+		present, found := listed[key]
+		if restored && row.Revision.Era() < l.era && row.Revision.Count() > present.Revision.Count() && !writtenIn(l.era, present) {
+			l.held[key] = row
+		}
+		if !found && row.Revision <= page.Revision {
 			delete(l.rows, key)
 		}
 	}
+	if restored && len(l.held) > 0 {
+		l.log.WithFields(logrus.Fields{"era": l.era, "rows": len(l.held)}).Info("locator: the store was restored, newer rows stay in use until they are written again")
+	}
+}
+
+// writtenIn reports whether a row was written in an era, and is not from a backup.
+func writtenIn(era uint64, row catkinrun.Row) bool {
+	member, err := decodeMember(row)
+	return err == nil && member.Era == era
+}
+
+// usedLocked returns the rows that describe the members.
+func (l *Locator) usedLocked() map[string]catkinrun.Row {
+	if len(l.held) == 0 {
+		return l.rows
+	}
+	used := maps.Clone(l.rows)
+	maps.Copy(used, l.held)
+	return used
 }
 
 func (l *Locator) indexLocked() {
 	l.members = make(map[string]catkinrun.Member, len(l.rows))
 	l.serving = make(map[string][]catkinrun.Member)
 	l.leaving = make(map[string][]catkinrun.Member)
-	for key, row := range l.rows {
+	for key, row := range l.usedLocked() {
 		if row.Deleted {
 			continue
 		}
@@ -142,7 +196,7 @@
 	return len(l.members)
 }
 
-// Row returns the row of a host, or a row with revision 0 if there is none.
+// Row returns the row of a host as it is in the store, or a row with revision 0 if there is none.
 func (l *Locator) Row(host string) catkinrun.Row {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/member.go
+++ b/member.go
@@ -22,6 +22,7 @@
 	Incarnation string  `json:"incarnation"` // of the daemon
 	Leaving     bool    `json:"leaving,omitempty"`
 	Server      *Server `json:"server,omitempty"` // nil if none has announced itself
+	Era         uint64  `json:"era,omitempty"`    // of the store when the row was written
 }
 
 // Serves reports whether the member's server accepts new requests for a service.
@@ -41,6 +42,12 @@
 	return m
 }
 
+// WithEra returns a copy that is written in an era of the store.
+func (m Member) WithEra(era uint64) Member {
+	m.Era = era
+	return m
+}
+
 // Validate checks a decoded member; it fails with *InvalidError.
 func (m Member) Validate() error {
 	if m.Host == "" || m.Peer == "" {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -36,6 +36,7 @@
 // Locator holds the published rows.
 type Locator interface {
 	Row(host string) catkinrun.Row
+	Revision() catkinrun.Revision
 	Apply(page catkinrun.Page, complete bool)
 }
 
@@ -269,11 +270,11 @@
 // revision: a write whose response was lost may take effect late, and must not overwrite a
 // later one.
 func (r *Registrar) Publish(ctx context.Context) error {
-	value, waiters, err := r.takePending()
+	row := r.locator.Row(r.host)
+	value, waiters, err := r.takePending(row)
 	if err != nil {
 		return err
 	}
-	row := r.locator.Row(r.host)
 	if row.Revision != 0 && string(row.Value) == value {
 		releaseWaiters(waiters)
 		return nil
@@ -308,13 +309,18 @@
 	return nil
 }
 
-// takePending returns the encoded row and takes the waiters to release once it is published.
-func (r *Registrar) takePending() (string, []chan struct{}, error) {
+// takePending returns the encoded row and takes the waiters to release once it is published. The era alone
+// is no reason to write a row that the store has.
+func (r *Registrar) takePending(stored catkinrun.Row) (string, []chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	waiters := r.waiters
 	r.waiters = nil
 	raw, err := json.Marshal(r.self)
+	if era := r.locator.Revision().Era(); err == nil && era != r.self.Era && string(raw) != string(stored.Value) {
+		r.self = r.self.WithEra(era)
+		raw, err = json.Marshal(r.self)
+	}
 	return string(raw), waiters, err
 }
 
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -179,7 +179,7 @@
 		return err
 	}
 	if len(response.Rows) > 0 {
-		s.locator.Apply(catkinrun.Page{Rows: response.Rows, Revision: response.Revision}, true)
+		s.locator.Merge(catkinrun.Page{Rows: response.Rows, Revision: response.Revision})
 	}
 	if response.Assignment != nil {
 		s.owners.ApplyAssignment(*response.Assignment)
