Rates: owners after the store has been restored

By test: a daemon that starts after a restore finds a former owner in the store; without these rules a lost generation is given out again, and two assignments have the same one. Cause: the generation is a count whose base the store may lose, and a restarted voter takes the store's assignment for at least as new as the one that it voted under. Ruled out: new epochs for all shards after a restore, which is as safe, but leaves every team with its local shares for a second; reading the newest assignment from a majority of the voters, since the owner that has their votes knows it. Change: generations contain the era; an owner that grants all of its shards writes the assignment again with the same epochs; the first claim in an era waits for unknown owners; a voter whose epoch goes back, or that starts with an assignment of a former era, abstains for the lifetime of a vote; a restarted voter settles anew.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -79,15 +79,16 @@
 
 	startedAt time.Time
 
-	mu         sync.Mutex
-	assignment Assignment
-	revision   catkinrun.Revision // of the assignment's row
-	changed    chan struct{}      // closed and replaced when the assignment changes
-	listed     bool               // the store has been read since the start of this daemon
-	superseded bool               // a later generation exists, but has not arrived yet
-	resigned   bool
-	health     map[string]*ownerHealth // by host
-	refusedIn  uint64                  // generation in which the voters last refused to replace an owner
+	mu            sync.Mutex
+	assignment    Assignment
+	revision      catkinrun.Revision // of the assignment's row
+	changed       chan struct{}      // closed and replaced when the assignment changes
+	listed        bool               // the store has been read since the start of this daemon
+	superseded    bool               // a later generation exists, but has not arrived yet
+	abstainsUntil time.Duration      // reading of this daemon's clock until which it does not vote
+	resigned      bool
+	health        map[string]*ownerHealth // by host
+	refusedIn     uint64                  // generation in which the voters last refused to replace an owner
 
 	// As an owner.
 	supporters  map[string]*supporter // by host
@@ -123,6 +124,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if complete {
+		b.applyAbsenceLocked(page)
+	}
 	b.listed = b.listed || complete
 }
 
@@ -158,6 +162,7 @@
 	if assignment.Generation <= b.assignment.Generation {
 		return
 	}
+	b.abstainLocked(assignment)
 	var reassigned ShardSet
 	b.retired, b.handedOver = make(map[int]*ledger), make(map[string]int)
 	for shard := range ShardCount {
--- a/broker/election.go
+++ b/broker/election.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
@@ -49,7 +47,8 @@
 }
 
 // Poll claims the shards whose owner this daemon should replace, if there are any and a majority of
-// the voters agrees, asks the former owners of its shards to stop, and removes hosts that are gone.
+// the voters agrees, writes the assignment again after a restore of the store, asks the former owners of
+// its shards to stop, and removes hosts that are gone.
 func (b *Broker) Poll(ctx context.Context) {
 	members := b.members.Members()
 	b.mu.Lock()
@@ -61,6 +60,7 @@
 	if shards != 0 {
 		b.claim(ctx, shards)
 	}
+	b.rewriteInEra(ctx)
 	b.confirmFormerOwners(ctx)
 	b.removeDeparted(ctx)
 }
@@ -159,21 +159,7 @@
 	next, revision := b.nextAssignmentLocked(shards), b.revision
 	b.logClaimLocked(shards)
 	b.mu.Unlock()
-	value, err := json.Marshal(next)
-	if err != nil {
-		b.log.WithError(err).Error("broker: cannot encode the assignment of owners")
-		return
-	}
-	page, err := b.store.Commit(ctx, catkinrun.Transaction{
-		Preconditions: []catkinrun.Precondition{{Table: b.table, Key: RowKey, Revision: revision}},
-		Writes:        []catkinrun.Write{{Table: b.table, Key: RowKey, Value: value}},
-	})
-	if err != nil {
-		b.log.WithError(err).WithField("generation", next.Generation).Info("broker: shards not claimed")
-		b.applyCurrent(err)
-		return
-	}
-	b.applyRow(catkinrun.Row{Key: RowKey, Value: value, Revision: page.Revision})
+	b.commit(ctx, next, revision)
 }
 
 // logClaimLocked logs what this daemon has seen of the owners whose shards it claims.
@@ -192,30 +178,20 @@
 
 // nextAssignmentLocked returns the assignment with which this daemon claims shards.
 func (b *Broker) nextAssignmentLocked(shards ShardSet) Assignment {
+	era := b.revision.Era()
 	switch {
 	case b.assignment.Generation == 0 && b.revision == 0:
 		return NewAssignment(b.self)
 	case b.assignment.Generation == 0:
-		return NewAssignment(b.self, Owner{}) // the row cannot be decoded, so that nobody can confirm
+		return newAssignmentIn(era, b.self, Owner{}) // a lost row, or one that cannot be decoded: nobody can confirm
 	}
 	var granted ShardSet
 	for _, h := range b.health {
 		granted |= h.granted & b.assignment.OwnedBy(h.owner)
 	}
-	return b.assignment.WithOwner(shards, b.self, granted)
-}
-
-// applyCurrent applies the row with which the store answered a failed precondition.
-func (b *Broker) applyCurrent(err error) {
-	var precondition *catkinrun.PreconditionError
-	if !errors.As(err, &precondition) {
-		return
+	next := b.assignment.raisedTo(era).WithOwner(shards, b.self, granted)
+	if b.assignment.eraOf() < era {
+		next = next.withUnknownFormer(shards) // an assignment after the one known may have been lost
 	}
-	if precondition.Current.Revision > 0 {
-		b.applyRow(precondition.Current)
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.revision = 0 // the row has been removed
+	return next
 }
--- a/broker/granting.go
+++ b/broker/granting.go
@@ -83,8 +83,8 @@
 
 func (b *Broker) recordSupportLocked(request *TokenRequest, now time.Duration) {
 	s, ok := b.supporters[request.Host]
-	if !ok {
-		s = &supporter{}
+	if !ok || s.incarnation != request.Incarnation {
+		s = &supporter{incarnation: request.Incarnation} // a restarted daemon may have voted for others meanwhile
 		b.supporters[request.Host] = s
 	}
 	s.record(request, now)
@@ -127,14 +127,19 @@
 	}
 }
 
-// Standing returns whether the requests of this daemon are votes, and whether its host is
-// among the voters of some shard. A restarted daemon votes only once it has read the store:
-// another daemon could have sent it an earlier assignment than it voted under before.
-func (b *Broker) Standing() (votes, isVoter bool) {
+// Standing is the part of a daemon in the election of the owners.
+type Standing struct {
+	Votes       bool   // its requests are votes
+	IsVoter     bool   // its host is among the voters of some shard
+	Incarnation string // of the daemon
+}
+
+// Standing returns the part of this daemon.
+func (b *Broker) Standing() Standing {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateLocked(b.elapsed())
-	return b.listed, b.isVoterLocked(b.self.Host)
+	return Standing{Votes: b.mayVoteLocked(), IsVoter: b.isVoterLocked(b.self.Host), Incarnation: b.self.Incarnation}
 }
 
 // isVoterLocked reports whether a host is among the voters of some shard.
@@ -255,7 +260,7 @@
 func (b *Broker) Status() Status {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Status{Generation: b.assignment.Generation, Ready: b.ready.Len(), MayVote: b.listed}
+	s := Status{Generation: b.assignment.Generation, Ready: b.ready.Len(), MayVote: b.mayVoteLocked()}
 	s.Votes, s.Voters = b.countVotesLocked(b.elapsed())
 	for _, owner := range b.assignment.Owners {
 		if b.failureTimeLocked(owner) > 0 {
--- a/broker/message.go
+++ b/broker/message.go
@@ -12,13 +12,14 @@
 
 // TokenRequest is a daemon's request to an owner for tokens of the teams' rates.
 type TokenRequest struct {
-	Host       string        `cbor:"host"`
-	Generation uint64        `cbor:"generation"` // of the assignment known to the daemon
-	Echo       time.Duration `cbor:"echo"`       // stamp of the last response of this start of the owner, 0 without one
-	Votes      bool          `cbor:"votes"`      // false until the daemon has read the assignment from the store
-	Teams      []TeamRequest `cbor:"teams"`
-	Assignment *Assignment   `cbor:"assignment,omitempty"` // if the owner is known to have an older one
-	Candidate  bool          `cbor:"candidate,omitempty"`  // asks a voter whether the daemon should replace owners
+	Host        string        `cbor:"host"`
+	Generation  uint64        `cbor:"generation"` // of the assignment known to the daemon
+	Echo        time.Duration `cbor:"echo"`       // stamp of the last response of this start of the owner, 0 without one
+	Votes       bool          `cbor:"votes"`      // false until the daemon has read the assignment from the store
+	Teams       []TeamRequest `cbor:"teams"`
+	Assignment  *Assignment   `cbor:"assignment,omitempty"`  // if the owner is known to have an older one
+	Candidate   bool          `cbor:"candidate,omitempty"`   // asks a voter whether the daemon should replace owners
+	Incarnation string        `cbor:"incarnation,omitempty"` // of the daemon
 }
 
 // TeamRequest is the entry of a token request for one team.
--- a/broker/votes.go
+++ b/broker/votes.go
@@ -29,11 +29,12 @@
 // not after its arrival: the host has received that stamp before it sent the request, so that
 // a request that the network delayed supports the owner no longer than the host intended.
 type supporter struct {
-	generation uint64
-	echo       time.Duration
-	votes      bool
-	heardAt    time.Duration // arrival of the last request
-	adoptions  []adoption
+	incarnation string // of the host's daemon
+	generation  uint64
+	echo        time.Duration
+	votes       bool
+	heardAt     time.Duration // arrival of the last request
+	adoptions   []adoption
 }
 
 // adoption is the time at which a host first requested tokens under a generation.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -32,7 +32,7 @@
 }
 
 // Standing implements limiter.Client.
-func (d *Daemon) Standing() (votes, isVoter bool) { return d.broker.Standing() }
+func (d *Daemon) Standing() broker.Standing { return d.broker.Standing() }
 
 // RequestTokens implements limiter.Client. If this daemon is the owner, it calls its own
 // broker directly.
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -53,7 +53,7 @@
 }
 func (ownerless) ApplyAssignment(broker.Assignment)                         {}
 func (ownerless) RecordResponse(broker.Owner, *broker.TokenResponse, error) {}
-func (ownerless) Standing() (votes, isVoter bool)                           { return false, false }
+func (ownerless) Standing() broker.Standing                                 { return broker.Standing{} }
 
 func (ownerless) RequestTokens(context.Context, broker.Owner, *broker.TokenRequest) (*broker.TokenResponse, error) {
 	return nil, &catkinrun.NotFoundError{Kind: "owner"}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -158,7 +158,7 @@
 	d.broker.RecordResponse(owner, response, err)
 }
 
-func (d *liveDaemon) Standing() (votes, isVoter bool) { return d.broker.Standing() }
+func (d *liveDaemon) Standing() broker.Standing { return d.broker.Standing() }
 
 func (d *liveDaemon) RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error) {
 	to := d.host.fleet.host(owner.Host)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -42,7 +42,7 @@
 	Assignment() (assignment broker.Assignment, changed <-chan struct{})
 	RequestTokens(ctx context.Context, owner broker.Owner, request *broker.TokenRequest) (*broker.TokenResponse, error)
 	RecordResponse(owner broker.Owner, response *broker.TokenResponse, err error)
-	Standing() (votes, isVoter bool)
+	Standing() broker.Standing
 }
 
 // Members counts the hosts among which the local shares are divided.
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -32,17 +33,38 @@
 // store is a table with one row. All daemons that are not partitioned read it at each tick.
 type store struct {
 	catkinrun.Store
-	row catkinrun.Row
+	row    catkinrun.Row
+	backup []catkinrun.Row // as of each transaction of the present era and of those before its backup
+	era    uint64
 }
 
 func (s *store) Commit(_ context.Context, t catkinrun.Transaction) (catkinrun.Page, error) {
-	if t.Preconditions[0].Revision != s.row.Revision {
+	if expected := t.Preconditions[0].Revision; expected != s.row.Revision && (expected.Count() != 0 || s.row.Revision.Count() != 0) {
 		return catkinrun.Page{}, &catkinrun.PreconditionError{Key: t.Preconditions[0].Key, Current: s.row}
 	}
-	s.row = catkinrun.Row{Key: t.Writes[0].Key, Value: t.Writes[0].Value, Revision: s.row.Revision + 1}
+	s.backup = append(s.backup, s.row)
+	s.row = catkinrun.Row{Key: t.Writes[0].Key, Value: t.Writes[0].Value, Revision: catkinrun.NewRevision(s.era, s.row.Revision.Count()+1)}
 	return catkinrun.Page{Revision: s.row.Revision}, nil
 }
 
+// restore begins a new era with a backup from before the last transactions.
+func (s *store) restore(lost int) {
+	s.era++
+	if n := max(0, len(s.backup)-lost); n < len(s.backup) {
+		s.row, s.backup = s.backup[n], s.backup[:n]
+	}
+	s.row.Revision = catkinrun.NewRevision(s.era, s.row.Revision.Count())
+}
+
+// list returns the row, if there is one.
+func (s *store) list() catkinrun.Page {
+	page := catkinrun.Page{Revision: s.row.Revision}
+	if s.row.Revision.Count() > 0 {
+		page.Rows = []catkinrun.Row{s.row}
+	}
+	return page
+}
+
 // fleet is a set of daemons that share one team's rate.
 type fleet struct {
 	clock    *clock.Fake
@@ -50,6 +72,9 @@
 	members  []catkinrun.Member
 	daemons  []*daemon
 	servedAt []time.Time
+
+	snapshots *configurer.Configurer
+	log       *logrus.Logger
 }
 
 type daemon struct {
@@ -59,6 +84,7 @@
 	limiter     *limiter.Limiter
 	partitioned bool // from the store and from the other daemons
 	crashed     bool // never restarted
+	starts      int
 }
 
 func (f *fleet) Members() []catkinrun.Member { return f.members }
@@ -74,7 +100,7 @@
 	d.broker.RecordResponse(owner, response, err)
 }
 
-func (d *daemon) Standing() (votes, isVoter bool) { return d.broker.Standing() }
+func (d *daemon) Standing() broker.Standing { return d.broker.Standing() }
 
 // ownsTeam reports whether this daemon believes that it owns the team's shard.
 func (d *daemon) ownsTeam() bool {
@@ -107,17 +133,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.snapshots, f.log = snapshots, log
 	for i := range count {
 		name := fmt.Sprintf("host-%03d", i)
-		f.members = append(f.members, catkinrun.Member{Host: name, Peer: name, Incarnation: name})
-		d := &daemon{fleet: f, name: name}
-		d.broker = broker.New(f.store, f, snapshots, f.clock, log, ownerTable, broker.Owner{Host: name, Peer: name, Incarnation: name}, d.RequestTokens)
-		d.limiter = limiter.New(snapshots, f, d, f.clock, log, name)
-		f.daemons = append(f.daemons, d)
+		f.members = append(f.members, catkinrun.Member{Host: name, Peer: name})
+		f.daemons = append(f.daemons, &daemon{fleet: f, name: name})
+		f.start(i)
 	}
 	return f
 }
 
+// start starts the daemon of a host, again if it runs.
+func (f *fleet) start(host int) {
+	d := f.daemons[host]
+	d.starts++
+	incarnation := fmt.Sprint(d.name, "-", d.starts)
+	f.members = slices.Clone(f.members)
+	f.members[host].Incarnation = incarnation
+	d.broker = broker.New(f.store, f, f.snapshots, f.clock, f.log, ownerTable, broker.Owner{Host: d.name, Peer: d.name, Incarnation: incarnation}, d.RequestTokens)
+	d.limiter = limiter.New(f.snapshots, f, d, f.clock, f.log, d.name)
+}
+
 // tick advances the clock by 50 ms. Each daemon then reads the store, claims the ownership
 // if it should, and requests tokens.
 func (f *fleet) tick() {
@@ -127,7 +163,7 @@
 			continue
 		}
 		if !d.partitioned {
-			d.broker.Apply(catkinrun.Page{Rows: []catkinrun.Row{f.store.row}}, true)
+			d.broker.Apply(f.store.list(), true)
 			d.broker.Poll(context.Background())
 		}
 		d.limiter.RequestTokens(context.Background())
@@ -190,6 +226,47 @@
 	})
 }
 
+// TestRateHoldsOverRestores restores the store from backups and restarts daemons, alone and together,
+// beside partitions. Two owners at the same time would serve twice the rate.
+func TestRateHoldsOverRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, rapid.IntRange(3, 7).Draw(t, "hosts"))
+		anyHost := rapid.IntRange(0, len(f.daemons)-1)
+		press := func(t *rapid.T) {
+			for range rapid.IntRange(1, 30).Draw(t, "ticks") {
+				f.tick()
+				for i := range 60 {
+					f.request(f.daemons[i%len(f.daemons)])
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if count, exceeded := f.exceedsBound(); exceeded {
+					t.Fatalf("%d requests served in a window, above the bound", count)
+				}
+			},
+			"press":       press,
+			"press again": press,
+			"restore":     func(t *rapid.T) { f.store.restore(rapid.IntRange(0, 3).Draw(t, "lost")) },
+			"restore and restart": func(t *rapid.T) {
+				f.store.restore(rapid.IntRange(0, 3).Draw(t, "lost"))
+				spared := anyHost.Draw(t, "spared")
+				for host := range f.daemons {
+					if host != spared {
+						f.start(host)
+					}
+				}
+			},
+			"restart": func(t *rapid.T) { f.start(anyHost.Draw(t, "host")) },
+			"cut": func(t *rapid.T) {
+				d := f.daemons[anyHost.Draw(t, "host")]
+				d.partitioned = !d.partitioned
+			},
+		})
+	})
+}
+
 // TestSteadyDemandBelowTheRateIsServed sends 60 % of the rate to one of six hosts.
 func TestSteadyDemandBelowTheRateIsServed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/limiter/restore_test.go
+++ b/limiter/restore_test.go
@@ -1,9 +1,12 @@
 package limiter_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/catkinrun/catkinrun/broker"
 )
 
 // TestOwnerFailsAfterRestore restores a backup from before the present owner was assigned, and ends
@@ -53,3 +56,31 @@
 		f.checkBound(t)
 	})
 }
+
+// TestOwnerWritesAssignmentAgainAfterRestore restores a backup from before the present owner was assigned,
+// and checks that its teams notice nothing and that the store names it again.
+func TestOwnerWritesAssignmentAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12, sameTeams(8, 100))
+		backup := f.store.server.Backup()
+		f.leave(f.owner(teamNames(0)))
+		time.Sleep(3 * time.Second)
+		owner := f.owner(teamNames(0))
+		loads := f.startLoads(t.Context(), 23, 60, f.hosts, 4*time.Second)
+		time.Sleep(time.Second)
+		f.store.restore(backup)
+		loads.Wait()
+		f.requireRefusedBelow(t, 2)
+		f.checkBound(t)
+		if f.owner(teamNames(0)) != owner {
+			t.Fatal("another daemon has become the owner")
+		}
+		var assignment broker.Assignment
+		if err := json.Unmarshal(f.store.list().Rows[0].Value, &assignment); err != nil {
+			t.Fatal(err)
+		}
+		if stored, _ := assignment.Owner(0); stored.Host != owner.name {
+			t.Fatalf("the store names %s, the owner is %s", stored.Host, owner.name)
+		}
+	})
+}
--- a/limiter/session.go
+++ b/limiter/session.go
@@ -97,7 +97,8 @@
 	defer cancel()
 	sentAt := l.clock.Now()
 	request, assignment := l.buildRequest(s.owner, sentAt)
-	request.Votes, s.isVoter = l.client.Standing()
+	standing := l.client.Standing()
+	request.Votes, request.Incarnation, s.isVoter = standing.Votes, standing.Incarnation, standing.IsVoter
 	request.Echo = s.echo
 	if s.outdated {
 		request.Assignment = &assignment
