Configuration: a daemon that starts, or reads a backup, asks two members for what it lacks

What callers saw: by test: a daemon that starts after a restore has the old configuration in force, with withdrawn keys and removed routes, until a request shows it that another daemon has a later one. Cause: members were asked during a store outage only; the store's answer counted as the newest. Ruled out: not being ready until a member has responded: nobody would be after all processes ended. Change: two exchanges after the start and in each new era, with members from a random one on. A daemon logs that the store's configuration is older than the one in force.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -168,6 +168,10 @@
 			continue
 		}
 		data, err := platform.DecodeConfiguration(row.Value)
+		if inForce := d.configurer.Snapshot().Version(); err == nil && data.Version < inForce {
+			d.log.WithFields(logrus.Fields{"version": data.Version, "in-force": inForce, "era": row.Revision.Era()}).
+				Warn("daemon: configuration in the store is older than the one in force, which stays")
+		}
 		if err == nil {
 			_, err = d.configurer.Apply(data, "store")
 		}
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -1,11 +1,13 @@
 // Package syncer passes configuration, members and the owners of the rates from daemon to
-// daemon, for daemons that cannot reach the store. Each request from an entry daemon to a serving daemon and
+// daemon, for daemons that cannot reach the store, or that have read a backup from it. Each request from an entry daemon to a serving daemon and
 // its response carry the sender's configuration version, and the daemon with the older
 // configuration requests the newer one from the other.
 package syncer
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,6 +31,10 @@
 	// pollInterval is the time between exchanges with other members during a store outage. An
 	// outage may extend the time until a withdrawn key is refused, but only to seconds.
 	pollInterval = 500 * time.Millisecond
+	// startExchanges is the number of exchanges with other members after the start, and when the store
+	// has been restored from a backup: what the store shows then may be older than what others have.
+	// One more than a single one, since the first member may have failed.
+	startExchanges = 2
 )
 
 // Request has the configuration version, the store revision and the generation of the owners
@@ -75,7 +81,9 @@
 
 	mu          sync.Mutex
 	exchangedAt time.Time // start of the last exchange
-	peerIndex   int
+	peerIndex   int       // of the last member asked; random at the start, so that daemons that start together ask different ones
+	era         uint64    // of the store, when exchanges were last due
+	due         int       // exchanges with other members that are due
 }
 
 // New returns a syncer for the daemon whose peer address is self. storeFailing reports
@@ -83,7 +91,7 @@
 func New(c *configurer.Configurer, l *locator.Locator, owners Owners, peers *messenger.Client, clock catkinrun.Clock,
 	log logrus.FieldLogger, self string, storeFailing func() bool,
 ) *Syncer {
-	return &Syncer{configurer: c, locator: l, owners: owners, peers: peers, clock: clock, log: log, self: self, storeFailing: storeFailing, ahead: make(chan string, 1)}
+	return &Syncer{configurer: c, locator: l, owners: owners, peers: peers, clock: clock, log: log, self: self, storeFailing: storeFailing, ahead: make(chan string, 1), due: startExchanges, peerIndex: rand.IntN(math.MaxInt32)}
 }
 
 // ObserveVersion requests an exchange with peer if version is newer than the configuration
@@ -114,8 +122,9 @@
 	return response, nil
 }
 
-// Serve pulls from daemons that have a newer configuration, and during a store outage from
-// the other members in turn, until ctx ends. It implements suture.Service.
+// Serve pulls from daemons that have a newer configuration, and after the start, after a restore of the
+// store and during a store outage from the other members in turn, until ctx ends. It implements
+// suture.Service.
 func (s *Syncer) Serve(ctx context.Context) error {
 	for {
 		waitCtx, cancel := context.WithTimeout(ctx, pollInterval)
@@ -128,7 +137,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if peer == "" && s.storeFailing() {
+		if peer == "" && (s.exchangeDue() || s.storeFailing()) {
 			peer = s.nextPeer()
 		}
 		if peer == "" || s.throttled() {
@@ -140,6 +149,22 @@
 	}
 }
 
+// exchangeDue reports whether an exchange with another member is due, and counts it if there are other
+// members.
+func (s *Syncer) exchangeDue() bool {
+	era, others := s.locator.Revision().Era(), s.locator.Count() > 1
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era > s.era {
+		s.era, s.due = era, startExchanges
+	}
+	if s.due == 0 || !others {
+		return false
+	}
+	s.due--
+	return true
+}
+
 // throttled reports whether the last exchange began less than minExchangeInterval ago. If it
 // did not, throttled records the start of a new one.
 func (s *Syncer) throttled() bool {
