Commands: a change gets a version above those in force at the daemons

What operators saw: by test: after a restore, apply wrote version 1 of an empty store while a daemon had 12 in force. The daemons ignore it, and it never comes into force. Cause: the next version was that of the store plus one. Class: a number given out by a count that goes back. Evidence: TestApplyAfterRestoreWritesALaterVersion, which failed before (1, not 13). Ruled out: versions taken from the time of day, which the platform's own versions would never pass; daemons that accept a lower version of a later era, since a configuration must never go back. Change: before a change, 16 random daemons are asked for their version, for a second at most.

--- a/commander/client.go
+++ b/commander/client.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +17,7 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/daemon"
+	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/platform"
 )
 
@@ -26,6 +30,10 @@
 	defaultWaitTimeout = 30 * time.Second
 	// pollInterval is the time between two polls of the daemons while a command waits.
 	pollInterval = 250 * time.Millisecond
+	// maxSampled is the number of daemons that are asked for the version in force before a change, and
+	// sampleTimeout bounds the wait for them.
+	maxSampled    = 16
+	sampleTimeout = time.Second
 )
 
 // storeClient reads and writes the store on behalf of operators' commands.
@@ -84,7 +92,11 @@
 	if err != nil {
 		return 0, err
 	}
-	data := catkinrun.SnapshotData{Version: current.data.Version + 1, Resources: resources}
+	inForce, err := s.versionInForce(ctx, store)
+	if err != nil {
+		return 0, err
+	}
+	data := catkinrun.SnapshotData{Version: max(current.data.Version, inForce) + 1, Resources: resources}
 	if err := data.Validate(); err != nil {
 		return 0, err
 	}
@@ -111,6 +123,34 @@
 	return data.Version, err
 }
 
+// versionInForce returns the highest version in force at some of the daemons, 0 if none responds. After
+// the store has been restored from a backup, it may be higher than the version in the store, and
+// daemons ignore versions that are not higher than theirs.
+func (s *storeClient) versionInForce(ctx context.Context, store catkinrun.Store) (catkinrun.Version, error) {
+	page, err := store.List(ctx, locator.Table)
+	if err != nil {
+		return 0, err
+	}
+	members := locator.New(discardLog())
+	members.Apply(page, true)
+	sample := members.Members()
+	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	sample = sample[:min(len(sample), maxSampled)]
+	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
+	defer cancel()
+	versions := make([]catkinrun.Version, len(sample))
+	var polls sync.WaitGroup
+	for i, m := range sample {
+		polls.Go(func() {
+			if status, err := fetchStatus(ctx, m); err == nil {
+				versions[i] = status.Version
+			}
+		})
+	}
+	polls.Wait()
+	return slices.Max(append(versions, 0)), nil
+}
+
 // UnknownResultError reports a change that may or may not have been written.
 type UnknownResultError struct {
 	Version catkinrun.Version
