Rates: a voter that has read a backup abstains when it learns a later assignment, too

What callers saw: nothing; found by the specification. Cause: a claim names no former owner if the present one has granted tokens, which proves that those before it had stopped. A voter that restarts and votes for one of those after reading a backup breaks the proof, and may vote for the next owner a moment later. Ruled out: naming unknown owners in every claim, which costs a second without tokens at each change. Change: such a voter abstains for the lifetime of a vote once more.

--- a/broker/era.go
+++ b/broker/era.go
@@ -18,8 +18,8 @@
 //   - An owner that grants the tokens of all of its shards writes the assignment in force again, with
 //     the same epochs.
 //   - The first claim in an era waits for the votes of unknown former owners to expire.
-//   - A voter whose assignment goes back to an earlier epoch, or that has started with an assignment of a
-//     former era, does not vote until its earlier votes have expired.
+//   - A voter whose assignment goes back to an earlier epoch, that has started with an assignment from a
+//     backup, or that learns a later one after it, does not vote until its earlier votes have expired.
 
 // firstGeneration returns the number that all generations of an era exceed.
 func firstGeneration(era uint64) uint64 { return uint64(catkinrun.NewRevision(era, 0)) }
@@ -118,8 +118,12 @@
 }
 
 // abstainLocked makes this daemon not vote until its earlier votes have expired, if an assignment goes back
-// to an earlier epoch than the one that it has voted under.
+// to an earlier epoch than the one that it has voted under, or if that one was from a backup: a later owner
+// may count on the former owners' having stopped before.
 func (b *Broker) abstainLocked(next Assignment) {
+	if b.fromBackup {
+		b.abstainsUntil = b.elapsed() + VoteTTL
+	}
 	for shard := range ShardCount {
 		if next.Epoch(shard) < b.assignment.Epoch(shard) {
 			b.abstainsUntil = b.elapsed() + VoteTTL
--- a/broker/era_test.go
+++ b/broker/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"testing"
 	"time"
@@ -67,10 +68,16 @@
 	c := clock.NewFake()
 	b := newBroker(c, "c")
 	first := NewAssignment(Owner{Host: "a", Peer: "a", Incarnation: "a-1"})
-	b.applyForTest(t, first, catkinrun.NewRevision(1, 3))
+	raw, err := json.Marshal(first)
+	is.NoErr(err)
+	b.Apply(catkinrun.Page{Rows: []catkinrun.Row{{Key: RowKey, Value: raw, Revision: catkinrun.NewRevision(1, 3)}}, Revision: catkinrun.NewRevision(1, 3)}, true)
 	is.True(!b.Standing().Votes)
 	c.Advance(VoteTTL)
 	is.True(b.Standing().Votes)
+	b.ApplyAssignment(first.WithOwner(allShards, Owner{Host: "b", Peer: "b", Incarnation: "b-1"}, allShards))
+	is.True(!b.Standing().Votes) // the votes for the owner that the backup named still count
+	c.Advance(VoteTTL)
+	is.True(b.Standing().Votes)
 	confirmed := newBroker(c, "c")
 	again := first.raisedTo(1)
 	again.Generation++
