Requests: logs name the fingerprint of a request without a response; scores are finite

Cause: no identity beyond the ID, which is new for each attempt; the score of a host that is chosen for want of a better one is infinite. Ruled out: logging path and body, which may hold secrets. No decision uses the fingerprint yet.

--- a/envelope.go
+++ b/envelope.go
@@ -84,6 +84,7 @@
 	Retry        bool          `cbor:"18,keyasint,omitempty"` // an earlier attempt has reached a backend server
 	FromRetry    bool          `cbor:"19,keyasint,omitempty"` // downstream call that is made, directly or not, for a retry
 	Notice       *Notice       `cbor:"20,keyasint,omitempty"` // of the server at the chosen host
+	Fingerprint  Fingerprint   `cbor:"21,keyasint,omitempty"` // 0 from a daemon that sends none
 	Weight       float64       `cbor:"17,keyasint,omitempty"` // requests that callers made for each one that the entry daemon sent; 0 counts as 1
 }
 
--- a/filter.go
+++ b/filter.go
@@ -17,6 +17,7 @@
 	Target    string // path and query as the caller sent them
 	Header    http.Header
 	Body      []byte    // whole body, if Stream is nil
+	Head      []byte    // of the body: all of it, or what was read ahead of Stream
 	Stream    io.Reader // body that is too large to be buffered and sent again
 	Length    int64     // bytes of Stream, -1 if unknown
 	Envelope  Envelope
--- a/filterer/authenticate.go
+++ b/filterer/authenticate.go
@@ -16,13 +16,15 @@
 	return &authenticate{configurer: deps.Configurer}
 }
 
-// Process finds the team that holds the caller's key and removes the key. Open routes
+// Process finds the team that holds the caller's key and removes the key. With the team known, it sets
+// the fingerprint. Open routes
 // need no key; a request without a key on an open route is a downstream call.
 func (f *authenticate) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
 	key := c.CallerKey
 	c.CallerKey = ""
 	snapshot := f.configurer.Snapshot()
 	if !snapshot.HasTeams() {
+		c.Envelope.Fingerprint = catkinrun.NewFingerprint(c)
 		return next(ctx, c)
 	}
 	name, ok := snapshot.TeamOfKey(key)
@@ -40,5 +42,6 @@
 	default:
 		c.Envelope.Downstream = key == ""
 	}
+	c.Envelope.Fingerprint = catkinrun.NewFingerprint(c)
 	return next(ctx, c)
 }
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -112,6 +112,6 @@
 func (f *forward) log(c *catkinrun.Call, server catkinrun.Server, status int, detail string) {
 	f.deps.Journal.LogFailed(logrus.Fields{
 		"request": c.Envelope.Request, "route": c.Envelope.Route, "server": server.ID, "status": status, "detail": detail,
-		"time-left-ms": c.Envelope.TimeLeft.Milliseconds(),
+		"fingerprint": c.Envelope.Fingerprint.String(), "time-left-ms": c.Envelope.TimeLeft.Milliseconds(),
 	}, "forward: no usable response from the server")
 }
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -128,6 +128,7 @@
 	if err != nil {
 		return refuse(http.StatusBadRequest, catkinrun.ReasonBadRequest, "the body is incomplete or too large")
 	}
+	c.Head = head
 	if len(head) <= maxBufferedBytes {
 		c.Body = head
 		return nil
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -36,7 +36,7 @@
 	err := next(ctx, c)
 	fields := logrus.Fields{
 		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "team": c.Envelope.Team,
-		"host": c.Host, "score": choice.Score, "among": choice.Candidates, "attempt": c.Envelope.Attempt,
+		"host": c.Host, "score": loggedScore(choice.Score), "among": choice.Candidates, "attempt": c.Envelope.Attempt,
 		"version": c.Envelope.Version, "took-ms": f.clock.Now().Sub(startedAt).Milliseconds(),
 	}
 	if err != nil {
@@ -61,6 +61,12 @@
 	return nil
 }
 
+// maxLoggedScore stands for the infinite score of a host that is chosen for want of a better one, which
+// JSON cannot express.
+const maxLoggedScore = 1e6
+
+func loggedScore(score float64) float64 { return min(score, maxLoggedScore) }
+
 // resultOf returns the router's result of an attempt that ended in a refusal.
 func resultOf(r *catkinrun.Refusal) router.Result {
 	switch r.Reason {
