Requests that crash the servers that run them are refused

Cause: hypothesis 1: nobody remembered what ran on a server as it ended. Class: evidence that every daemon sees a part of, and that is dropped with the connection. The time from the start of a request to the end: the deadly ones ran for some 70 ms, like others. Hypothesis 2, retries: POST has none. Hypothesis 3: one fingerprint is in every end. Change: package screener and the step screen. During a store outage the reports go from daemon to daemon. A restarted daemon reads them, and keeps its own in its row.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"github.com/catkinrun/catkinrun/relayer"
 	"github.com/catkinrun/catkinrun/retrier"
 	"github.com/catkinrun/catkinrun/router"
+	"github.com/catkinrun/catkinrun/screener"
 	"github.com/catkinrun/catkinrun/shedder"
 	"github.com/catkinrun/catkinrun/syncer"
 )
@@ -99,6 +100,7 @@
 	syncer        *syncer.Syncer
 	admitter      *admitter.Admitter
 	observer      *observer.Observer
+	screener      *screener.Screener
 	peerClient    *messenger.Client
 	gateway       *filterer.Gateway
 	services      []suture.Service
@@ -140,14 +142,15 @@
 	d.relayer = relayer.New(store, d.locator, d.askWatcher, d.log, self)
 	d.configuration = follower.New(d.relayer, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
 	d.members = follower.New(d.relayer, d.clock, d.log, locator.Table, membersInterval, d.applyMembers)
+	d.screener = screener.New(d.clock, d.log, s.Host, d.registrar.ReportCrashes)
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
-	d.syncer = syncer.New(d.configurer, d.locator, d.broker, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
+	d.syncer = syncer.New(d.configurer, d.locator, d.broker, d.screener, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
 	d.admitter = admitter.New(initialSlots, d.clock)
 	d.observer = observer.New(d.clock, d.log, drainGrace)
 	deps := &filterer.Dependencies{
 		Self: self, Service: s.Service, Server: s.Server, HeaderCodec: platform.HeaderCodec{},
 		Configurer: d.configurer, Correlator: correlator.New(), Shedder: shedder.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(observer.NewMembers(d.locator, d.observer), d.clock, d.log, s.Zone, rand.Float64),
-		Budget: retrier.New(float64(s.Retries), d.serverCount), Registrar: d.registrar, Admitter: d.admitter, Observer: d.observer, Syncer: d.syncer,
+		Budget: retrier.New(float64(s.Retries), d.serverCount), Registrar: d.registrar, Admitter: d.admitter, Observer: d.observer, Screener: d.screener, Syncer: d.syncer,
 		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdleTimeout, maxIdleServerConns),
 		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
 	}
@@ -194,6 +197,7 @@
 
 func (d *Daemon) applyMembers(page catkinrun.Page, complete bool) {
 	d.locator.Apply(page, complete)
+	d.screener.Merge(d.locator.CrashReports())
 	d.broker.Apply(page, complete)
 	if complete {
 		d.registrar.Restore(d.locator.Row(d.settings.Host))
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -28,6 +28,8 @@
 		"catkinrun_log_lines_dropped":       func() float64 { return float64(d.journal.Dropped()) },
 		"catkinrun_server_limit_per_second": func() float64 { return d.observer.Limits()[d.settings.Host] },
 		"catkinrun_servers_limited":         func() float64 { return float64(len(d.observer.Limits())) },
+		"catkinrun_requests_screened":       func() float64 { refused, _ := d.screener.Counts(); return float64(refused) },
+		"catkinrun_server_ends":             func() float64 { _, ends := d.screener.Counts(); return float64(ends) },
 		"catkinrun_store_era":               func() float64 { return float64(d.store.Era()) },
 		"catkinrun_rates_generation":        func() float64 { return float64(d.broker.Status().Generation) },
 		"catkinrun_rates_shards_ready":      func() float64 { return float64(d.broker.Status().Ready) },
--- a/envelope.go
+++ b/envelope.go
@@ -39,6 +39,7 @@
 	ReasonClosed      Reason = "closed"      // no process listens at the address
 	ReasonLocal       Reason = "local"       // this daemon is out of file descriptors or local ports
 	ReasonBroken      Reason = "broken"      // the response was cut off or was not the server's own
+	ReasonCrash       Reason = "crash"       // servers have ended while they ran the request
 	ReasonBadRequest  Reason = "bad-request" // malformed or over a limit
 )
 
--- a/filterer/crash_test.go
+++ b/filterer/crash_test.go
@@ -20,6 +20,7 @@
 	"github.com/catkinrun/catkinrun/filterer"
 	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/registrar"
+	"github.com/catkinrun/catkinrun/screener"
 )
 
 const (
@@ -75,6 +76,7 @@
 // apply applies rows that the store has sent, as the daemon does.
 func (h *crashHost) apply(page catkinrun.Page) {
 	h.locator.Apply(page, false)
+	h.deps.Screener.Merge(h.locator.CrashReports())
 }
 
 func startCrashFleet(t *testing.T, count int) *crashFleet {
@@ -87,6 +89,7 @@
 		h.startDaemon()
 	}
 	for _, h := range f.hosts {
+		go func() { _ = h.deps.Registrar.Serve(t.Context()) }()
 		h.announce()
 	}
 	return f
@@ -103,6 +106,7 @@
 	h.deps = newDependencies(h.fleet.t, h.name, h.address, h.locator, 0)
 	h.deps.Self.Peer = h.peer.Listener.Addr().String()
 	h.deps.Registrar = registrar.New(h.fleet, h.locator, h.deps.Clock, h.deps.Journal.Logger(), h.deps.Self, 0)
+	h.deps.Screener = screener.New(h.deps.Clock, h.deps.Journal.Logger(), h.name, h.deps.Registrar.ReportCrashes)
 	route := func(name string, idempotent bool) catkinrun.Resource {
 		return catkinrun.Resource{Kind: catkinrun.KindRoute, Name: name, Route: &catkinrun.Route{
 			Domain: "shop.example", Prefix: "/" + name + "/", Targets: []catkinrun.Target{{Service: service, Weight: 1}},
@@ -112,9 +116,6 @@
 	_, err := h.deps.Configurer.Apply(catkinrun.SnapshotData{Version: 1, Resources: []catkinrun.Resource{route("read", true), route("order", false)}}, "test")
 	is.NoErr(err)
 	h.gateway = newGatewayOf(h.deps)
-	ctx, cancel := context.WithCancel(h.fleet.t.Context())
-	h.fleet.t.Cleanup(cancel)
-	go func() { _ = h.deps.Registrar.Serve(ctx) }()
 }
 
 // startServer starts a server, which ends a while after a deadly request and starts again.
--- a/filterer/forward.go
+++ b/filterer/forward.go
@@ -9,6 +9,7 @@
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/correlator"
 	"github.com/catkinrun/catkinrun/exchanger"
+	"github.com/catkinrun/catkinrun/screener"
 )
 
 type forward struct {
@@ -42,15 +43,16 @@
 	deps.HeaderCodec.SetForwardHeaders(request.Header, catkinrun.ForwardMetadata{
 		ID: c.Envelope.Request, TimeLeft: c.Envelope.TimeLeft, Instance: server.ID, Caller: c.Envelope.Caller, Team: c.Envelope.Team,
 	})
+	run := deps.Screener.Begin(server.Start(), c.Envelope.Fingerprint)
 	exchange, err := deps.Backend.Do(request)
 	if err != nil {
-		f.log(c, server, 0, asRefusal(err).Detail)
-		if asRefusal(err).Reason == catkinrun.ReasonClosed {
-			deps.Registrar.MarkDown(server.ID, asRefusal(err).Detail)
-		}
+		f.recordFailure(c, server, run, asRefusal(err))
 		return err
 	}
 	metadata := deps.HeaderCodec.ReadResponse(exchange.Response.Status, exchange.Response.Header)
+	if metadata.ID == c.Envelope.Request && !metadata.NotRun {
+		run.Complete()
+	}
 	if metadata.ID == c.Envelope.Request && !metadata.Misdirected {
 		deps.Observer.Record(deps.Self.Host, server.Start(), metadata.Condition)
 		deps.applyRateLimit(server)
@@ -72,6 +74,18 @@
 	return nil
 }
 
+// recordFailure records a request without a response.
+func (f *forward) recordFailure(c *catkinrun.Call, server catkinrun.Server, run *screener.Run, r *catkinrun.Refusal) {
+	f.log(c, server, 0, r.Detail)
+	switch r.Reason {
+	case catkinrun.ReasonClosed:
+		f.deps.Registrar.MarkDown(server.ID, r.Detail)
+		f.deps.Screener.ServerEnded(server.Start())
+	case catkinrun.ReasonBroken:
+		run.Break()
+	}
+}
+
 // checkResponse refuses a response that is not the server's own, complete result of this
 // request.
 func (f *forward) checkResponse(c *catkinrun.Call, server catkinrun.Server, x *exchanger.Exchange, metadata catkinrun.ResponseMetadata) error {
--- a/filterer/forward_test.go
+++ b/filterer/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/catkinrun/catkinrun/platform"
 	"github.com/catkinrun/catkinrun/registrar"
 	"github.com/catkinrun/catkinrun/retrier"
+	"github.com/catkinrun/catkinrun/screener"
 )
 
 // TestQueuedRequestIsNotSentToDrainedServer guards against sending a request to a server
@@ -34,6 +35,7 @@
 	step := newForward(&Dependencies{
 		Clock: system, Journal: journal, Registrar: reg, Correlator: correlator.New(), HeaderCodec: platform.HeaderCodec{}, Server: "127.0.0.1:1",
 		Budget: retrier.New(0, func() int { return 1 }), Backend: exchanger.New(time.Second, time.Second, 1),
+		Screener: screener.New(system, journal.Logger(), "h", reg.ReportCrashes),
 	})
 	reg.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 2, Draining: true})
 	c := &catkinrun.Call{Envelope: catkinrun.Envelope{Request: "r", Route: "read", Service: "s", TimeLeft: time.Second}}
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -32,6 +32,7 @@
 	"github.com/catkinrun/catkinrun/registrar"
 	"github.com/catkinrun/catkinrun/retrier"
 	"github.com/catkinrun/catkinrun/router"
+	"github.com/catkinrun/catkinrun/screener"
 	"github.com/catkinrun/catkinrun/shedder"
 	"github.com/catkinrun/catkinrun/syncer"
 )
@@ -105,13 +106,15 @@
 	obs := observer.New(system, log, drainGrace)
 	adm := admitter.New(8, system)
 	go func() { _ = adm.Serve(t.Context()) }()
+	reg := registrar.New(store{}, hosts, system, log, self, drainGrace)
+	scr := screener.New(system, log, host, reg.ReportCrashes)
 	return &filterer.Dependencies{
 		Self: self, Service: service, Server: address, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
 		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.99 }),
 		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, host),
 		Router:  router.New(observer.NewMembers(hosts, obs), system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
-		Registrar: registrar.New(store{}, hosts, system, log, self, drainGrace), Admitter: adm, Observer: obs,
-		Syncer: syncer.New(conf, hosts, ownerless{}, nil, system, log, self.Peer, func() bool { return false }),
+		Registrar: reg, Admitter: adm, Observer: obs, Screener: scr,
+		Syncer: syncer.New(conf, hosts, ownerless{}, scr, nil, system, log, self.Peer, func() bool { return false }),
 		Peers:  exchanger.New(time.Second, time.Second, 64), Backend: exchanger.New(time.Second, time.Second, 64),
 		Stopping: func() bool { return false }, Clock: system, Journal: journal,
 	}
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -16,6 +16,7 @@
 	"github.com/catkinrun/catkinrun/registrar"
 	"github.com/catkinrun/catkinrun/retrier"
 	"github.com/catkinrun/catkinrun/router"
+	"github.com/catkinrun/catkinrun/screener"
 	"github.com/catkinrun/catkinrun/shedder"
 	"github.com/catkinrun/catkinrun/syncer"
 )
@@ -41,12 +42,14 @@
 var Steps = []Step{
 	{"classify", "match the route; set the service, the priority and the deadline", CallerListener, newClassify},
 	{"authenticate", "check the key and remove it", CallerListener, newAuthenticate},
+	{"screen", "refuse requests that crash the servers that run them", CallerListener, newScreen},
 	{"shed", "refuse requests for which downstream servers lack spare capacity", CallerListener, newShed},
 	{"limit", "limit the rate of the team", CallerListener, newLimit},
 	{"retry", "try another host where this is safe", CallerListener, newRetry},
 	{"route", "choose the host", CallerListener, newRoute},
 	{"send", "send the request to the host's daemon", CallerListener, newSend},
 	{"verify", "check the envelope; check the request against a newer configuration", PeerListener, newVerify},
+	{"screen", "the same, by what this daemon knows", PeerListener, newScreen},
 	{"admit", "wait for a slot and for the rate that the server takes, or shed", PeerListener, newAdmit},
 	{"forward", "send the request to the backend server, a retry only within the budget", PeerListener, newForward},
 }
@@ -82,6 +85,7 @@
 	Registrar   *registrar.Registrar
 	Admitter    *admitter.Admitter
 	Observer    *observer.Observer
+	Screener    *screener.Screener
 	Syncer      *syncer.Syncer
 	Peers       *exchanger.Exchanger // to other daemons
 	Backend     *exchanger.Exchanger // to the backend server beside this daemon
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -189,6 +189,20 @@
 	return list
 }
 
+// CrashReports returns the reports of the hosts that have made one.
+func (l *Locator) CrashReports() []catkinrun.CrashReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var reports []catkinrun.CrashReport
+	for host, m := range l.members {
+		if len(m.Crashes) > 0 || len(m.Refused) > 0 {
+			m.CrashReport.Host = host
+			reports = append(reports, m.CrashReport)
+		}
+	}
+	return reports
+}
+
 // Count returns the number of members.
 func (l *Locator) Count() int {
 	l.mu.Lock()
--- a/member.go
+++ b/member.go
@@ -23,6 +23,7 @@
 	Leaving     bool    `json:"leaving,omitempty"`
 	Server      *Server `json:"server,omitempty"` // nil if none has announced itself
 	Era         uint64  `json:"era,omitempty"`    // of the store when the row was written
+	CrashReport
 }
 
 // Serves reports whether the member's server accepts new requests for a service.
@@ -42,6 +43,13 @@
 	return m
 }
 
+// WithCrashReport returns a copy with another report of crashes.
+func (m Member) WithCrashReport(r CrashReport) Member {
+	r.Host = m.Host
+	m.CrashReport = r
+	return m
+}
+
 // WithEra returns a copy that is written in an era of the store.
 func (m Member) WithEra(era uint64) Member {
 	m.Era = era
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -88,11 +88,19 @@
 // Restore uses the server that an earlier incarnation of this daemon published, until the
 // server announces itself. This is safe even if the server has been replaced meanwhile,
 // since each request carries the ID of the server that may run it, and the server checks it.
+//
+// The row's report of crashes stays in the row, unless this incarnation has made one already.
 func (r *Registrar) Restore(row catkinrun.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var previous catkinrun.Member
-	if r.announced || r.self.Server != nil || row.Revision == 0 || json.Unmarshal(row.Value, &previous) != nil || previous.Server == nil {
+	if row.Revision == 0 || json.Unmarshal(row.Value, &previous) != nil {
+		return
+	}
+	if len(r.self.Crashes) == 0 && len(r.self.Refused) == 0 {
+		r.self = r.self.WithCrashReport(previous.CrashReport)
+	}
+	if r.announced || r.self.Server != nil || previous.Server == nil {
 		return
 	}
 	r.self = r.self.WithServer(previous.Server)
@@ -226,6 +234,14 @@
 	r.log.WithFields(logrus.Fields{"server": server, "cause": cause}).Warn("registrar: server marked as down")
 }
 
+// ReportCrashes publishes what this daemon has seen of the ends of its server.
+func (r *Registrar) ReportCrashes(report catkinrun.CrashReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self = r.self.WithCrashReport(report)
+	r.publishLocked()
+}
+
 // Leave publishes that this daemon is leaving.
 func (r *Registrar) Leave() {
 	r.mu.Lock()
@@ -303,6 +319,7 @@
 	current.Key = key
 	current.Deleted = current.Revision == 0
 	r.locator.Apply(catkinrun.Page{Rows: []catkinrun.Row{current}}, false)
+	r.Restore(current)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.publishLocked()
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -34,6 +34,8 @@
 	Slots           int
 	ServiceTime     time.Duration
 	ColdStart       time.Duration     // time after the start in which the service time is coldFactor times as long
+	DeadlyPath      string            // path prefix of requests that crash the server that runs them; empty for none
+	Crash           func()            // ends the server's process
 	DownstreamCalls map[string]string // path prefix to "METHOD /path" of a downstream call made before processing
 }
 
@@ -186,6 +188,10 @@
 		b.updateReport(func(report *Report) { report.Cancelled++ })
 		return
 	}
+	if b.settings.DeadlyPath != "" && strings.HasPrefix(r.URL.Path, b.settings.DeadlyPath) {
+		b.settings.Crash()
+		return
+	}
 	if !b.callDownstream(r) {
 		b.updateReport(func(report *Report) { report.DownstreamFailures++ })
 		w.WriteHeader(http.StatusBadGateway)
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -28,6 +28,8 @@
 	dialTimeout  = 2 * time.Second
 	maxIdleConns = 1000
 	idleTimeout  = 30 * time.Second
+	// crashStatus is the exit status of a server that a request has crashed.
+	crashStatus = 70
 )
 
 // Run executes the command line and returns the exit status.
@@ -89,6 +91,7 @@
 	command := &cobra.Command{
 		Use: "server", Short: "Run a stand-in for a backend server",
 		RunE: func(c *cobra.Command, _ []string) error {
+			settings.Crash = func() { os.Exit(crashStatus) }
 			b := backend.New(settings, clock.System{}, client())
 			supervisor := suture.NewSimple("server")
 			supervisor.Add(b)
@@ -104,6 +107,7 @@
 	flags.StringVar(&settings.Control, "control", "", "URL of the announcement listener of the daemon beside it")
 	flags.StringVar(&settings.Domain, "domain", "", "Host header of downstream calls")
 	flags.IntVar(&settings.Slots, "slots", 50, "requests that the server runs at once")
+	flags.StringVar(&settings.DeadlyPath, "deadly-path", "", "path prefix of requests that end the process, which is then to be started again under another ID")
 	flags.DurationVar(&settings.ServiceTime, "work", 20*time.Millisecond, "service time")
 	flags.DurationVar(&settings.ColdStart, "cold", 0, "time after the start in which the service time is five times as long")
 	flags.StringToStringVar(&settings.DownstreamCalls, "call", nil, `downstream call for a path prefix, like /orders="GET /stock"`)
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -51,6 +51,7 @@
 	Rows          []catkinrun.Row         `cbor:"rows,omitempty"`
 	Revision      catkinrun.Revision      `cbor:"revision"`
 	Assignment    *broker.Assignment      `cbor:"assignment,omitempty"`
+	Crashes       []catkinrun.CrashReport `cbor:"crashes,omitempty"`
 }
 
 // Validate checks a decoded response; it fails with *catkinrun.InvalidError.
@@ -67,11 +68,18 @@
 	ApplyAssignment(assignment broker.Assignment)
 }
 
+// Crashes has what is known of requests that crash servers.
+type Crashes interface {
+	Reports() []catkinrun.CrashReport
+	Merge(reports []catkinrun.CrashReport)
+}
+
 // Syncer exchanges configuration and members with other daemons.
 type Syncer struct {
 	configurer   *configurer.Configurer
 	locator      *locator.Locator
 	owners       Owners
+	crashes      Crashes
 	peers        *messenger.Client
 	clock        catkinrun.Clock
 	log          logrus.FieldLogger
@@ -88,10 +96,10 @@
 
 // New returns a syncer for the daemon whose peer address is self. storeFailing reports
 // whether the store is unavailable to this daemon.
-func New(c *configurer.Configurer, l *locator.Locator, owners Owners, peers *messenger.Client, clock catkinrun.Clock,
+func New(c *configurer.Configurer, l *locator.Locator, owners Owners, crashes Crashes, peers *messenger.Client, clock catkinrun.Clock,
 	log logrus.FieldLogger, self string, storeFailing func() bool,
 ) *Syncer {
-	return &Syncer{configurer: c, locator: l, owners: owners, peers: peers, clock: clock, log: log, self: self, storeFailing: storeFailing, ahead: make(chan string, 1), due: startExchanges, peerIndex: rand.IntN(math.MaxInt32)}
+	return &Syncer{configurer: c, locator: l, owners: owners, crashes: crashes, peers: peers, clock: clock, log: log, self: self, storeFailing: storeFailing, ahead: make(chan string, 1), due: startExchanges, peerIndex: rand.IntN(math.MaxInt32)}
 }
 
 // ObserveVersion requests an exchange with peer if version is newer than the configuration
@@ -108,7 +116,7 @@
 
 // Handle responds to the request of another daemon.
 func (s *Syncer) Handle(_ context.Context, request *Request) (*Response, error) {
-	response := &Response{Revision: s.locator.Revision()}
+	response := &Response{Revision: s.locator.Revision(), Crashes: s.crashes.Reports()}
 	if snapshot := s.configurer.Snapshot(); snapshot.Version() > request.Version {
 		data := snapshot.Data()
 		response.Configuration = &data
@@ -206,6 +214,7 @@
 	if len(response.Rows) > 0 {
 		s.locator.Merge(catkinrun.Page{Rows: response.Rows, Revision: response.Revision})
 	}
+	s.crashes.Merge(response.Crashes)
 	if response.Assignment != nil {
 		s.owners.ApplyAssignment(*response.Assignment)
 	}
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -40,6 +40,12 @@
 
 func (noOwners) ApplyAssignment(broker.Assignment) {}
 
+// noCrashes knows of no crash.
+type noCrashes struct{}
+
+func (noCrashes) Reports() []catkinrun.CrashReport { return nil }
+func (noCrashes) Merge([]catkinrun.CrashReport)    {}
+
 // start starts the syncer of a daemon that reads a version and the members from the store.
 func (h hosts) start(ctx context.Context, t *testing.T, host string, version catkinrun.Version, members catkinrun.Page) *configurer.Configurer {
 	t.Helper()
@@ -49,7 +55,7 @@
 	_, err := c.Apply(catkinrun.SnapshotData{Version: version}, "store")
 	is.New(t).NoErr(err)
 	l.Apply(members, true)
-	s := syncer.New(c, l, noOwners{}, messenger.New(h), clock.System{}, log, host, func() bool { return false })
+	s := syncer.New(c, l, noOwners{}, noCrashes{}, messenger.New(h), clock.System{}, log, host, func() bool { return false })
 	mux := http.NewServeMux()
 	messenger.Handle(mux, syncer.Procedure, s.Handle)
 	h[host] = mux
