Rates: a voter abstains while its votes for an owner may count that the assignment does not name

Cause: a claim names no former owner if the present one has granted tokens, which proves that those before it had stopped. After a restore a voter that restarts may revive one of those; another voter, which has missed the change in between, then votes for the next owner while its votes for the revived one still count. Ruled out: unknown owners in every later claim of an era, which costs a second without tokens at each change of owner.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -85,7 +85,7 @@
 	changed       chan struct{}      // closed and replaced when the assignment changes
 	listed        bool               // the store has been read since the start of this daemon
 	superseded    bool               // a later generation exists, but has not arrived yet
-	fromBackup    bool               // the assignment was read from a restored store, and may not be the last one before
+	supported     []support          // votes for the owners of earlier assignments that may still count
 	abstainsUntil time.Duration      // reading of this daemon's clock until which it does not vote
 	resigned      bool
 	health        map[string]*ownerHealth // by host
@@ -147,9 +147,7 @@
 		b.log.WithError(err).Warn("broker: cannot decode the assignment of owners")
 		return
 	}
-	if b.applyLocked(assignment) {
-		b.fromBackup = assignment.eraOf() < row.Revision.Era()
-	}
+	b.applyLocked(assignment)
 }
 
 // ApplyAssignment applies an assignment that another daemon has sent.
@@ -160,13 +158,12 @@
 }
 
 // applyLocked applies an assignment if it is newer than the one in force. Shards that stay
-// with this daemon keep their ledgers. It reports whether it has done so.
-func (b *Broker) applyLocked(assignment Assignment) bool {
+// with this daemon keep their ledgers.
+func (b *Broker) applyLocked(assignment Assignment) {
 	if assignment.Generation <= b.assignment.Generation {
-		return false
+		return
 	}
 	b.abstainLocked(assignment)
-	b.fromBackup = false
 	var reassigned ShardSet
 	b.retired, b.handedOver = make(map[int]*ledger), make(map[string]int)
 	for shard := range ShardCount {
@@ -191,7 +188,6 @@
 		hosts = append(hosts, owner.Host)
 	}
 	b.log.WithFields(logrus.Fields{"owners": hosts, "generation": assignment.Generation}).Info("broker: owners changed")
-	return true
 }
 
 // updateUnconfirmedLocked adds the former owners of shards that this daemon has got, and
--- a/broker/era.go
+++ b/broker/era.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -18,8 +20,9 @@
 //   - An owner that grants the tokens of all of its shards writes the assignment in force again, with
 //     the same epochs.
 //   - The first claim in an era waits for the votes of unknown former owners to expire.
-//   - A voter whose assignment goes back to an earlier epoch, that has started with an assignment from a
-//     backup, or that learns a later one after it, does not vote until its earlier votes have expired.
+//   - A voter does not vote while its votes for an owner that the assignment neither names as the owner
+//     nor as a former one may still count: nobody asks that owner whether it has stopped. Nor does a voter
+//     that starts with an assignment of a former era vote until the votes from before its start have expired.
 
 // firstGeneration returns the number that all generations of an era exceed.
 func firstGeneration(era uint64) uint64 { return uint64(catkinrun.NewRevision(era, 0)) }
@@ -117,19 +120,38 @@
 	}
 }
 
-// abstainLocked makes this daemon not vote until its earlier votes have expired, if an assignment goes back
-// to an earlier epoch than the one that it has voted under, or if that one was from a backup: a later owner
-// may count on the former owners' having stopped before.
+// support is the votes that this daemon has given to an owner.
+type support struct {
+	owner  Owner
+	shards ShardSet
+	until  time.Duration // reading of this daemon's clock until which they may count
+}
+
+// abstainLocked makes this daemon not vote under the next assignment while its votes for an owner may
+// count which the assignment does not name.
 func (b *Broker) abstainLocked(next Assignment) {
-	if b.fromBackup {
-		b.abstainsUntil = b.elapsed() + VoteTTL
+	now := b.elapsed()
+	b.supported = slices.DeleteFunc(b.supported, func(s support) bool { return s.until <= now })
+	for _, owner := range b.assignment.Owners {
+		b.supported = append(b.supported, support{owner: owner, shards: b.assignment.OwnedBy(owner), until: now + VoteTTL})
+	}
+	for _, s := range b.supported {
+		if !next.names(s.owner, s.shards) {
+			b.abstainsUntil = max(b.abstainsUntil, s.until)
+		}
 	}
-	for shard := range ShardCount {
-		if next.Epoch(shard) < b.assignment.Epoch(shard) {
-			b.abstainsUntil = b.elapsed() + VoteTTL
-			return
+}
+
+// names reports whether a daemon is the owner or a former owner of each of the shards, or has ended, since its
+// host has another owner's daemon.
+func (a Assignment) names(owner Owner, shards ShardSet) bool {
+	for shard := range a.Shards {
+		present, _ := a.Owner(shard)
+		if shards.Has(shard) && present.Host != owner.Host && !slices.Contains(a.formerOwners(shard), owner) {
+			return false
 		}
 	}
+	return true
 }
 
 // mayVoteLocked reports whether the requests of this daemon are votes. A restarted daemon votes only once it has
