Configuration, members: a page from before a restore is not applied

What callers saw: nothing; found by reading. Cause: a daemon that lists anew through a watcher which has missed the restore would go back to the watcher's position, though each package ignores the rows. Evidence: TestPageFromBeforeARestoreIsNotApplied. Ruled out: refusing at the watcher, which cannot know. Change: the follower refuses pages of a former era and tries again.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -96,6 +96,9 @@
 		if err != nil {
 			return err
 		}
+		if err := f.checkEra(page); err != nil {
+			return err
+		}
 		f.apply(page, true)
 		f.listed, f.fresh = true, true
 		f.recordRevision(page)
@@ -114,6 +117,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.checkEra(page); err != nil {
+		return err
+	}
 	f.fresh = false
 	f.recordRevision(page)
 	if len(page.Rows) == 0 && !page.Complete {
@@ -131,6 +137,14 @@
 	return min(watchTimeout, max(0, f.relistAt.Sub(f.clock.Now())))
 }
 
+// checkEra refuses a page from before a restore of the store, which another daemon may still have.
+func (f *Follower) checkEra(page catkinrun.Page) error {
+	if era := page.Revision.Era(); era < f.era {
+		return &catkinrun.EraError{Era: era, Latest: f.era}
+	}
+	return nil
+}
+
 // recordRevision records the position from which the next watch continues.
 func (f *Follower) recordRevision(page catkinrun.Page) {
 	if f.started && page.Revision.Era() > f.era {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -119,3 +119,20 @@
 	is.Equal(s.calls[5], "list")
 	is.Equal(len(s.calls), 7)
 }
+
+// TestPageFromBeforeARestoreIsNotApplied has a watcher that has missed the restore respond.
+func TestPageFromBeforeARestoreIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	s := &store{responses: []response{{page: page(catkinrun.NewRevision(2, 1), "new")}, {page: page(catkinrun.NewRevision(1, 9), "old")}}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var applied []string
+	f := follower.New(s, clock.NewFake(), log, "t", 0, func(p catkinrun.Page, _ bool) {
+		for _, row := range p.Rows {
+			applied = append(applied, row.Key)
+		}
+	})
+	is.NoErr(f.Step(context.Background()))
+	is.True(f.Step(context.Background()) != nil)
+	is.Equal(applied, []string{"new"})
+}
