Rates: a claim that was written without knowing of a restore waits for unknown owners, too

What callers saw: nothing; found by reading. Cause: a claim whose precondition holds by chance, or by an unchanged row, may be written in an era that its writer does not know yet, without naming unknown former owners. Evidence: by reasoning; the rule is that of TestFirstClaimInAnEraWaitsForUnknownOwners. Ruled out: undoing such a claim. Change: the owner that such a row names waits for the votes of unknown owners to expire. The question to a former owner names this daemon's incarnation, like all token requests.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -200,6 +200,9 @@
 	for _, owner := range b.assignment.Former {
 		b.unconfirmed[owner] |= b.assignment.FormerOf(owner) & owned & reassigned
 	}
+	if b.assignment.eraOf() < b.revision.Era() { // written without knowing that the store was restored
+		b.unconfirmed[Owner{}] |= owned & reassigned
+	}
 }
 
 // Assignment returns the assignment in force and a channel that is closed when it changes.
--- a/broker/handover.go
+++ b/broker/handover.go
@@ -28,7 +28,9 @@
 func (b *Broker) confirmStopped(ctx context.Context, former Owner, assignment Assignment) (stopped ShardSet, handover []Grant) {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	response, err := b.ask(ctx, former, &TokenRequest{Host: b.self.Host, Generation: assignment.Generation, Assignment: &assignment})
+	response, err := b.ask(ctx, former, &TokenRequest{
+		Host: b.self.Host, Incarnation: b.self.Incarnation, Generation: assignment.Generation, Assignment: &assignment,
+	})
 	switch {
 	case ProcessEnded(former, response, err):
 		return allShards, nil
