--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 type restoredFleet struct {
 	members  []catkinrun.Member
 	relayers map[string]*relayer.Relayer
-	seen     map[string]*string // by host: value of the last row
+	seen     map[string]*atomic.Value // by host: value of the last row
 }
 
 func (f *restoredFleet) Members() []catkinrun.Member { return f.members }
@@ -31,22 +32,27 @@
 	return f.relayers[watcher.Host].Handle(ctx, request)
 }
 
-func startRestoredFleet(t *testing.T, server *standin.Store, count int) *restoredFleet {
-	f := &restoredFleet{relayers: make(map[string]*relayer.Relayer), seen: make(map[string]*string)}
+func discardLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return log
+}
+
+func startRestoredFleet(t *testing.T, server *standin.Store, count int) *restoredFleet {
+	f := &restoredFleet{relayers: make(map[string]*relayer.Relayer), seen: make(map[string]*atomic.Value)}
+	log := discardLog()
 	ctx, cancel := context.WithCancel(t.Context())
 	for i := range count {
 		m := catkinrun.Member{Host: string(rune('a' + i)), Zone: "z"}
 		f.members = append(f.members, m)
 		f.relayers[m.Host] = relayer.New(platform.NewStore("store", server.Client(), time.Second, log), f, f.ask, log, m)
-		f.seen[m.Host] = new(string)
+		f.seen[m.Host] = &atomic.Value{}
 	}
 	for host, r := range f.relayers {
 		seen := f.seen[host]
 		follow := follower.New(r, clock.System{}, log, tableName, 0, func(page catkinrun.Page, _ bool) {
 			for _, row := range page.Rows {
-				*seen = string(row.Value)
+				seen.Store(string(row.Value))
 			}
 		})
 		go func() { _ = follow.Serve(ctx) }()
@@ -62,7 +68,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		server := standin.New(clock.System{}, standin.Limits{})
-		operator := platform.NewStore("store", server.Client(), time.Second, logrus.New())
+		operator := platform.NewStore("store", server.Client(), time.Second, discardLog())
 		put := func(value string) {
 			_, err := operator.Commit(context.Background(), catkinrun.Transaction{Writes: []catkinrun.Write{{Table: tableName, Key: "k", Value: []byte(value)}}})
 			is.NoErr(err)
@@ -83,8 +89,8 @@
 		put("confirmed")
 		time.Sleep(2 * time.Second)
 		for _, m := range f.members {
-			if *f.seen[m.Host] != "confirmed" {
-				t.Errorf("%s has %q", m.Host, *f.seen[m.Host])
+			if seen := f.seen[m.Host].Load(); seen != "confirmed" {
+				t.Errorf("%s has %q", m.Host, seen)
 			}
 		}
 		is.Equal(server.Calls()["/catkinrun/rows-get"], before)
