Configuration, members: a watch continues from the revision of a stale listing

A store that has dropped its history may answer with rows of some seconds ago, and the changes in between were never asked for. A watcher that passes on all rows had the same fault. Evidence: TestWatchContinuesFromAStaleListing (watch after 5, not 3) and TestCompleteRowsAreAsOfTheirRevision (9, not 5) failed before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -101,7 +101,7 @@
 		}
 		f.apply(page, true)
 		f.listed, f.fresh = true, true
-		f.recordRevision(page)
+		f.recordRevision(page, true)
 		return nil
 	}
 	page, err := f.store.Watch(ctx, f.table, f.revision, f.watchTimeout())
@@ -121,7 +121,7 @@
 		return err
 	}
 	f.fresh = false
-	f.recordRevision(page)
+	f.recordRevision(page, page.Complete)
 	if len(page.Rows) == 0 && !page.Complete {
 		return nil
 	}
@@ -145,12 +145,17 @@
 	return nil
 }
 
-// recordRevision records the position from which the next watch continues.
-func (f *Follower) recordRevision(page catkinrun.Page) {
+// recordRevision records the position from which the next watch continues. After a listing that is its
+// revision, even if a watch was further: a read of the store may be stale.
+func (f *Follower) recordRevision(page catkinrun.Page, complete bool) {
 	if f.started && page.Revision.Era() > f.era {
 		f.relistAt = f.clock.Now().Add(restoreGrace)
 	}
 	f.started, f.era = true, max(f.era, page.Revision.Era())
+	if complete {
+		f.revision = page.Revision
+		return
+	}
 	f.revision = max(f.revision, page.Revision)
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -136,3 +136,25 @@
 	is.True(f.Step(context.Background()) != nil)
 	is.Equal(applied, []string{"new"})
 }
+
+// TestWatchContinuesFromAStaleListing has the store drop its history and answer the listing from before the
+// last change.
+func TestWatchContinuesFromAStaleListing(t *testing.T) {
+	is := is.New(t)
+	for _, complete := range []bool{false, true} { // listed by this daemon, or by a watcher
+		listing := response{page: page(3, "a")}
+		responses := []response{{page: page(1)}, {page: page(5, "b")}, {err: &catkinrun.HistoryError{}}, listing, {page: page(5, "b")}}
+		if complete {
+			listing.page.Complete = true
+			responses = []response{{page: page(1)}, {page: page(5, "b")}, listing, {page: page(5, "b")}}
+		}
+		s := &store{responses: responses}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		f := follower.New(s, clock.NewFake(), log, "t", 0, func(catkinrun.Page, bool) {})
+		for range responses {
+			is.NoErr(f.Step(context.Background()))
+		}
+		is.Equal(s.calls[len(s.calls)-1], "watch after 3")
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -237,10 +237,11 @@
 	return t
 }
 
-// replace replaces the copy by a complete page.
+// replace replaces the copy by a complete page, which may be from before the last change: a read of the
+// store may be stale.
 func (t *table) replace(page catkinrun.Page) {
 	t.rows = make(map[string]catkinrun.Row, len(page.Rows))
-	t.listedAt = page.Revision
+	t.listedAt, t.revision = page.Revision, page.Revision
 	t.add(page)
 }
 
--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -96,3 +96,35 @@
 		is.Equal(server.Calls()["/catkinrun/rows-get"], before)
 	})
 }
+
+// staleStore lists a table as of before its last change, as after a dropped history.
+type staleStore struct {
+	catkinrun.Store
+	listings []catkinrun.Page
+}
+
+func (s *staleStore) List(context.Context, string) (catkinrun.Page, error) {
+	page := s.listings[0]
+	s.listings = s.listings[1:]
+	return page, nil
+}
+
+// TestCompleteRowsAreAsOfTheirRevision has a watcher list a table that it knew in a later state. A daemon that
+// gets all rows must not take them for that state.
+func TestCompleteRowsAreAsOfTheirRevision(t *testing.T) {
+	is := is.New(t)
+	row := func(value string, revision catkinrun.Revision) catkinrun.Page {
+		return catkinrun.Page{Rows: []catkinrun.Row{{Key: "k", Value: []byte(value), Revision: revision}}, Revision: revision}
+	}
+	f := &restoredFleet{}
+	r := relayer.New(&staleStore{listings: []catkinrun.Page{row("new", 9), row("old", 5)}}, f, f.ask, discardLog(), catkinrun.Member{Host: "a", Zone: "z"})
+	for range 2 {
+		_, err := r.List(t.Context(), tableName)
+		is.NoErr(err)
+	}
+	response, err := r.Handle(t.Context(), &relayer.Request{Table: tableName, After: 0})
+	is.NoErr(err)
+	is.True(response.Complete)
+	is.Equal(string(response.Rows[0].Value), "old")
+	is.Equal(response.Revision, catkinrun.Revision(5))
+}
