--- a/broker/assignment.go
+++ b/broker/assignment.go
@@ -151,11 +151,7 @@
 // NewAssignment returns the first generation, in which one daemon owns all shards. former are
 // daemons that may still grant tokens.
 func NewAssignment(owner Owner, former ...Owner) Assignment {
-	first := Assignment{Generation: 1}
-	for range ShardCount {
-		first.add(owner, first.Generation, former)
-	}
-	return first
+	return newAssignmentIn(0, owner, former...)
 }
 
 // add appends the entry of the next shard to an assignment that is being built.
--- a/broker/era.go
+++ b/broker/era.go
@@ -36,12 +36,12 @@
 	return a
 }
 
-// newAssignmentIn returns the first assignment that is written in an era, as NewAssignment does.
+// newAssignmentIn returns the first generation of an era, as NewAssignment does for a store that was
+// never restored.
 func newAssignmentIn(era uint64, owner Owner, former ...Owner) Assignment {
-	first := NewAssignment(owner, former...)
-	first.Generation += firstGeneration(era)
-	for shard := range first.Shards {
-		first.Shards[shard].Epoch = first.Generation
+	first := Assignment{Generation: firstGeneration(era) + 1}
+	for range ShardCount {
+		first.add(owner, first.Generation, former)
 	}
 	return first
 }
--- a/commander/client.go
+++ b/commander/client.go
@@ -17,7 +17,6 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/daemon"
-	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/platform"
 )
 
@@ -92,7 +91,7 @@
 	if err != nil {
 		return 0, err
 	}
-	inForce, err := s.versionInForce(ctx, store)
+	inForce, err := s.versionInForce(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -126,14 +125,11 @@
 // versionInForce returns the highest version in force at some of the daemons, 0 if none responds. After
 // the store has been restored from a backup, it may be higher than the version in the store, and
 // daemons ignore versions that are not higher than theirs.
-func (s *storeClient) versionInForce(ctx context.Context, store catkinrun.Store) (catkinrun.Version, error) {
-	page, err := store.List(ctx, locator.Table)
+func (s *storeClient) versionInForce(ctx context.Context) (catkinrun.Version, error) {
+	sample, err := s.listMembers(ctx)
 	if err != nil {
 		return 0, err
 	}
-	members := locator.New(discardLog())
-	members.Apply(page, true)
-	sample := members.Members()
 	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
 	sample = sample[:min(len(sample), maxSampled)]
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,16 +130,15 @@
 	self := catkinrun.Member{Host: s.Host, Zone: s.Zone, Peer: s.Listen.Peer, Operator: s.Listen.Operator, Incarnation: d.incarnation}
 	peers := exchanger.New(dialTimeout, peerIdleTimeout, maxIdlePeerConns)
 	d.peerClient = messenger.New(&http.Client{Transport: peers.Transport()})
-	store := platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdleTimeout, maxIdleStoreConns)}, time.Duration(s.Times.Store), d.log)
-	d.store = store
+	d.store = platform.NewStore(s.Store, &http.Client{Transport: dialer.Transport(storeDialTimeout, peerIdleTimeout, maxIdleStoreConns)}, time.Duration(s.Times.Store), d.log)
 	d.configurer = configurer.New(d.clock, d.log)
 	d.locator = locator.New(d.log)
 	drainGrace := time.Duration(drainServeFraction * float64(s.Times.Drain))
-	d.registrar = registrar.New(store, d.locator, d.clock, d.log, self, drainGrace)
-	d.broker = broker.New(store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
+	d.registrar = registrar.New(d.store, d.locator, d.clock, d.log, self, drainGrace)
+	d.broker = broker.New(d.store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
-	d.relayer = relayer.New(store, d.locator, d.askWatcher, d.log, self)
+	d.relayer = relayer.New(d.store, d.locator, d.askWatcher, d.log, self)
 	d.configuration = follower.New(d.relayer, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
 	d.members = follower.New(d.relayer, d.clock, d.log, locator.Table, membersInterval, d.applyMembers)
 	d.screener = screener.New(d.clock, d.log, s.Host, d.registrar.ReportCrashes)
--- a/filterer/authenticate.go
+++ b/filterer/authenticate.go
@@ -16,16 +16,23 @@
 	return &authenticate{configurer: deps.Configurer}
 }
 
-// Process finds the team that holds the caller's key and removes the key. With the team known, it sets
-// the fingerprint. Open routes
-// need no key; a request without a key on an open route is a downstream call.
+// Process identifies the caller and, with the team known, sets the request's fingerprint.
 func (f *authenticate) Process(ctx context.Context, c *catkinrun.Call, next catkinrun.Handler) error {
+	if err := f.identify(c); err != nil {
+		return err
+	}
+	c.Envelope.Fingerprint = catkinrun.NewFingerprint(c)
+	return next(ctx, c)
+}
+
+// identify finds the team that holds the caller's key and removes the key. Open routes need no key; a
+// request without a key on an open route is a downstream call. It fails with *catkinrun.Refusal.
+func (f *authenticate) identify(c *catkinrun.Call) error {
 	key := c.CallerKey
 	c.CallerKey = ""
 	snapshot := f.configurer.Snapshot()
 	if !snapshot.HasTeams() {
-		c.Envelope.Fingerprint = catkinrun.NewFingerprint(c)
-		return next(ctx, c)
+		return nil
 	}
 	name, ok := snapshot.TeamOfKey(key)
 	switch {
@@ -42,6 +49,5 @@
 	default:
 		c.Envelope.Downstream = key == ""
 	}
-	c.Envelope.Fingerprint = catkinrun.NewFingerprint(c)
-	return next(ctx, c)
+	return nil
 }
--- a/filterer/screen.go
+++ b/filterer/screen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/sirupsen/logrus"
 
@@ -22,9 +23,7 @@
 		f.deps.Journal.LogFailed(logrus.Fields{
 			"request": c.Envelope.Request, "route": c.Envelope.Route, "team": c.Envelope.Team, "fingerprint": fingerprint.String(), "crashes": crashes,
 		}, "screen: request refused, servers have ended while they ran it")
-		refusal := refuseTemporarily(catkinrun.ReasonCrash, "servers have ended while they ran requests like this one")
-		refusal.RetryAfter = 0
-		return refusal
+		return refuse(http.StatusServiceUnavailable, catkinrun.ReasonCrash, "servers have ended while they ran requests like this one")
 	}
 	err := next(ctx, c)
 	if err == nil {
