--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -1,7 +1,10 @@
 package screener_test
 
 import (
+	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +16,7 @@
 	"github.com/catkinrun/catkinrun/screener"
 )
 
-// fleet has the screeners of some hosts, which learn each other's reports at once.
+// fleet has the screeners of some hosts, which learn each other's reports at once, in the order of their names.
 type fleet struct {
 	clock   *clock.Fake
 	hosts   map[string]*screener.Screener
@@ -36,13 +39,17 @@
 	f.deliver()
 }
 
-// deliver passes all reports on to all daemons.
+// deliver passes all reports on to all daemons. As with the rows of the store, each gets those that were
+// there before any of them made another one.
 func (f *fleet) deliver() {
-	for _, s := range f.hosts {
-		for host, r := range f.reports {
-			r.Host = host
-			s.Merge([]catkinrun.CrashReport{r})
-		}
+	var reports []catkinrun.CrashReport
+	for _, host := range slices.Sorted(maps.Keys(f.reports)) {
+		r := f.reports[host]
+		r.Host = host
+		reports = append(reports, r)
+	}
+	for _, host := range slices.Sorted(maps.Keys(f.hosts)) {
+		f.hosts[host].Merge(reports)
 	}
 }
 
@@ -127,6 +134,50 @@
 	is.Equal(f.refusing(1), 0)
 }
 
+// TestEndCountsOnce delivers the same reports for hours, as when another row changes and nobody has written
+// the rows of two hosts that are gone.
+func TestEndCountsOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("a", "b", "c")
+	f.crash("a", "a/1", 1)
+	f.crash("b", "b/1", 1)
+	f.crash("c", "c/1", 1)
+	is.Equal(f.refusing(1), 3)
+	delete(f.hosts, "b")
+	delete(f.hosts, "c")
+	f.clock.Advance(10 * time.Minute)
+	for range 200 {
+		f.deliver()
+		is.Equal(f.refusing(1), 0)
+		f.clock.Advance(time.Minute)
+	}
+	f.crash("a", "a/2", 1) // the fourth end
+	is.Equal(f.refusing(1), 1)
+}
+
+// TestEndsOfManyServersCountOnce ends the servers of more hosts than a daemon remembers ends, three each while
+// they run the same request.
+func TestEndsOfManyServersCountOnce(t *testing.T) {
+	is := is.New(t)
+	const servers = 600
+	f := newFleet("a")
+	for i := range servers {
+		host := fmt.Sprintf("host-%03d", i)
+		request := catkinrun.Fingerprint(i/3 + 1)
+		f.reports[host] = catkinrun.CrashReport{Crashes: []catkinrun.Crash{{Server: host + "/1", Requests: catkinrun.Fingerprints{request}}}}
+	}
+	for range 20 {
+		f.deliver()
+		refused, ends := f.hosts["a"].Counts()
+		is.Equal(refused, servers/3)
+		is.Equal(ends, 256)
+		f.clock.Advance(time.Second)
+	}
+	f.clock.Advance(10 * time.Minute)
+	refused, _ := f.hosts["a"].Counts()
+	is.Equal(refused, 0)
+}
+
 // TestRefusalTimeGrowsWithEachEnd lets a deadly request through after ten minutes, and then once a day.
 func TestRefusalTimeGrowsWithEachEnd(t *testing.T) {
 	is := is.New(t)
