--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -195,6 +195,29 @@
 	}
 }
 
+// TestCompletedRequestIsNotRefusedByOldReports refuses a request for a day, which then completes. One of the
+// hosts that have reported it is gone, so that its row stays.
+func TestCompletedRequestIsNotRefusedByOldReports(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("a", "b", "c")
+	for _, server := range []string{"1", "2"} {
+		f.crash("a", "a/"+server, 1)
+		f.crash("b", "b/"+server, 1)
+	}
+	is.Equal(f.reports["b"].Refused, catkinrun.Fingerprints{1})
+	delete(f.hosts, "b")
+	f.clock.Advance(24 * time.Hour)
+	is.Equal(f.refusing(1), 0)
+	f.complete("a", "a/3", 1)
+	f.complete("c", "c/1", 1)
+	for range 3 {
+		f.deliver()
+		is.Equal(f.refusing(1), 0)
+		is.Equal(len(f.reports["a"].Refused), 0) // daemons that start later are not told
+		f.clock.Advance(time.Minute)
+	}
+}
+
 // TestRestartedDaemonKnowsWhatIsRefused restarts the daemons one after the other, and later long after
 // the last end of a server.
 func TestRestartedDaemonKnowsWhatIsRefused(t *testing.T) {
