--- a/screener/run.go
+++ b/screener/run.go
@@ -86,42 +86,5 @@
 	s.log.WithFields(logrus.Fields{"server": server, "requests": len(requests)}).Warn("screener: server ended while it ran requests")
 	s.expireLocked()
 	s.addLocked(s.host, catkinrun.Crash{Server: server, Requests: requests})
-	s.publish(s.reportLocked(s.host))
-}
-
-const (
-	// maxRecent bounds the completed requests that are remembered.
-	maxRecent = 4096
-	// recentTime is how long a completed request is not suspected. It is short, since a request may
-	// become deadly with a release of the server.
-	recentTime = 5 * time.Second
-)
-
-// recent is a set of the last fingerprints that were added.
-type recent struct {
-	order []catkinrun.Fingerprint // ring
-	next  int
-	at    map[catkinrun.Fingerprint]time.Time
-}
-
-func newRecent() *recent { return &recent{at: make(map[catkinrun.Fingerprint]time.Time)} }
-
-func (r *recent) add(f catkinrun.Fingerprint, now time.Time) {
-	if _, known := r.at[f]; known {
-		r.at[f] = now
-		return
-	}
-	r.at[f] = now
-	if len(r.order) < maxRecent {
-		r.order = append(r.order, f)
-		return
-	}
-	delete(r.at, r.order[r.next])
-	r.order[r.next] = f
-	r.next = (r.next + 1) % maxRecent
-}
-
-func (r *recent) has(f catkinrun.Fingerprint, now time.Time) bool {
-	at, known := r.at[f]
-	return known && now.Sub(at) < recentTime
+	s.publishLocked()
 }
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -37,6 +37,16 @@
 	// maxSuspects is the number of requests from which on those that are not refused are forgotten. The ends
 	// that are remembered have half as many.
 	maxSuspects = 2 * maxEnds * maxRequests
+	// countedTime is how long after its last report an end is not counted again. Rows repeat it, those of a
+	// host that is gone or of a backup for long. It is longer than the longest refusal.
+	countedTime = 48 * time.Hour
+	// maxCounted bounds the ends that are not counted again: all that 13,000 hosts report together.
+	maxCounted = 13000 * maxReported
+	// maxCompleted bounds the completed requests that are remembered.
+	maxCompleted = 4096
+	// completedTime is how long a completed request is not suspected. It is short, since a request may
+	// become deadly with a release of the server.
+	completedTime = 5 * time.Second
 	// maxRefused bounds the requests that one host reports as refused for long.
 	maxRefused = 64
 )
@@ -54,11 +64,19 @@
 	mu        sync.Mutex
 	broken    []*Run // on the server beside this daemon, not known to be an end of it
 	ended     string // start of the server that ended last
-	completed *recent
+	completed *recent[catkinrun.Fingerprint]
+	counted   *recent[statement]
+	published catkinrun.CrashReport
 	ends      []end // oldest first
 	suspects  map[catkinrun.Fingerprint]*suspect
 }
 
+// statement is what a host's report states: the end of a start of its server, or a refused request.
+type statement struct {
+	host, server string
+	request      catkinrun.Fingerprint
+}
+
 // end is the end of a server.
 type end struct {
 	host string
@@ -76,7 +94,11 @@
 // New returns a screener for the daemon of a host. publish is called with what the other daemons should
 // know of this host.
 func New(clock catkinrun.Clock, log logrus.FieldLogger, host string, publish func(catkinrun.CrashReport)) *Screener {
-	return &Screener{clock: clock, log: log, host: host, publish: publish, completed: newRecent(), suspects: make(map[catkinrun.Fingerprint]*suspect)}
+	return &Screener{
+		clock: clock, log: log, host: host, publish: publish,
+		completed: newRecent[catkinrun.Fingerprint](maxCompleted, completedTime), counted: newRecent[statement](maxCounted, countedTime),
+		suspects: make(map[catkinrun.Fingerprint]*suspect),
+	}
 }
 
 // Refuses reports whether a request is refused, and after how many ends of servers.
@@ -124,19 +146,18 @@
 func (s *Screener) Merge(reports []catkinrun.CrashReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.expireLocked() {
-		s.publish(s.reportLocked(s.host))
-	}
+	s.expireLocked()
 	for _, r := range reports {
 		for _, c := range r.Crashes {
-			if i := s.findLocked(r.Host, c.Server); i < 0 || len(c.Requests) > len(s.ends[i].Requests) {
-				s.addLocked(r.Host, c)
-			}
+			s.addLocked(r.Host, c)
 		}
 		for _, f := range r.Refused {
-			s.refuseLocked(f, minCrashes+len(refusalTimes)-1, r.Host)
+			if !s.countLocked(statement{host: r.Host, request: f}) {
+				s.refuseLocked(f, minCrashes+len(refusalTimes)-1, r.Host)
+			}
 		}
 	}
+	s.publishLocked()
 }
 
 // Reports returns what this daemon knows of all hosts, for one that cannot read it from the store.
@@ -157,6 +178,15 @@
 	return reports
 }
 
+// publishLocked publishes what this daemon states of its server, if it is not what it has stated last.
+func (s *Screener) publishLocked() {
+	report := s.reportLocked(s.host)
+	if !report.Equal(s.published) {
+		s.published = report
+		s.publish(report)
+	}
+}
+
 // reportLocked returns the last ends of the server beside a host's daemon.
 func (s *Screener) reportLocked(host string) catkinrun.CrashReport {
 	report := catkinrun.CrashReport{Host: host}
@@ -171,34 +201,52 @@
 	}
 	now := s.clock.Now()
 	for f, p := range s.suspects {
-		if p.own && p.crashes >= minCrashes+len(refusalTimes)-1 && now.Before(p.refusedUntil) && len(report.Refused) < maxRefused {
+		if p.own && p.crashes >= minCrashes+len(refusalTimes)-1 && now.Before(p.refusedUntil) {
 			report.Refused = append(report.Refused, f)
 		}
 	}
 	slices.Sort(report.Refused)
+	report.Refused = report.Refused[:min(len(report.Refused), maxRefused)]
 	return report
 }
 
+// countLocked reports whether a statement has been counted before, and records it.
+func (s *Screener) countLocked(t statement) bool {
+	now := s.clock.Now()
+	counted := s.counted.has(t, now)
+	s.counted.add(t, now)
+	return counted
+}
+
 // findLocked returns the index of the end of a server, -1 if it is not known.
 func (s *Screener) findLocked(host, server string) int {
 	return slices.IndexFunc(s.ends, func(e end) bool { return e.host == host && e.Server == server })
 }
 
-// addLocked adds the end of a server. Requests that were found later to have run there count, too.
+// addLocked adds the end of a server, unless it has been counted and forgotten since. Requests that were
+// found later to have run there count, too.
 func (s *Screener) addLocked(host string, c catkinrun.Crash) {
+	now := s.clock.Now()
+	counted := s.countLocked(statement{host: host, server: c.Server})
 	i := s.findLocked(host, c.Server)
+	if i < 0 && counted {
+		return
+	}
 	if i < 0 {
-		s.ends = append(s.ends, end{host: host, at: s.clock.Now(), Crash: catkinrun.Crash{Server: c.Server}})
+		s.ends = append(s.ends, end{host: host, at: now, Crash: catkinrun.Crash{Server: c.Server}})
 		s.forgetLocked(max(0, len(s.ends)-maxEnds))
 		i = len(s.ends) - 1
 	}
 	e := &s.ends[i]
+	if len(c.Requests) <= len(e.Requests) && slices.Equal(c.Requests, e.Requests[:len(c.Requests)]) {
+		return // the usual case: a row states it again
+	}
 	for _, f := range c.Requests {
 		if slices.Contains(e.Requests, f) || len(e.Requests) >= maxRequests {
 			continue
 		}
 		e.Requests = append(slices.Clip(e.Requests), f)
-		if s.completed.has(f, s.clock.Now()) {
+		if s.completed.has(f, now) {
 			continue
 		}
 		crashes := 1
@@ -230,17 +278,14 @@
 		Warn("screener: request ran on servers as they ended, refused")
 }
 
-// expireLocked forgets ends that no longer count. It reports whether one was that of the server beside this
-// daemon.
-func (s *Screener) expireLocked() bool {
+// expireLocked forgets ends that no longer count.
+func (s *Screener) expireLocked() {
 	now := s.clock.Now()
 	expired := slices.IndexFunc(s.ends, func(e end) bool { return now.Sub(e.at) < crashMemory })
 	if expired < 0 {
 		expired = len(s.ends)
 	}
-	own := slices.ContainsFunc(s.ends[:expired], func(e end) bool { return e.host == s.host })
 	s.forgetLocked(expired)
-	return own
 }
 
 // forgetLocked forgets the oldest ends, and the requests that they concern and that are not refused.
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -39,17 +39,21 @@
 	f.deliver()
 }
 
-// deliver passes all reports on to all daemons. As with the rows of the store, each gets those that were
-// there before any of them made another one.
+// deliver passes all reports on to all daemons, and then those that they have made. As with the rows of the
+// store, each gets those that were there before any of them made another one.
 func (f *fleet) deliver() {
-	var reports []catkinrun.CrashReport
-	for _, host := range slices.Sorted(maps.Keys(f.reports)) {
-		r := f.reports[host]
-		r.Host = host
-		reports = append(reports, r)
-	}
-	for _, host := range slices.Sorted(maps.Keys(f.hosts)) {
-		f.hosts[host].Merge(reports)
+	for changed := true; changed; {
+		before := maps.Clone(f.reports)
+		var reports []catkinrun.CrashReport
+		for _, host := range slices.Sorted(maps.Keys(before)) {
+			r := before[host]
+			r.Host = host
+			reports = append(reports, r)
+		}
+		for _, host := range slices.Sorted(maps.Keys(f.hosts)) {
+			f.hosts[host].Merge(reports)
+		}
+		changed = !maps.EqualFunc(before, f.reports, catkinrun.CrashReport.Equal)
 	}
 }
 
