--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -26,7 +26,8 @@
 	revision catkinrun.Revision
 	changed  chan struct{}
 	calls    int
-	down     map[string]bool // by host: calls fail
+	waits    map[string]time.Duration // by host: of the last watch
+	down     map[string]bool          // by host: calls fail
 }
 
 func (s *store) write() {
@@ -79,6 +80,7 @@
 func (v view) Watch(ctx context.Context, _ string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
 	v.mu.Lock()
 	v.calls++
+	v.waits[v.host] = wait
 	v.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -140,7 +142,7 @@
 }
 
 func startFleet(t *testing.T, count int) *fleet {
-	f := &fleet{store: &store{revision: 1, changed: make(chan struct{}), down: make(map[string]bool)}, daemons: make(map[string]*daemon)}
+	f := &fleet{store: &store{revision: 1, changed: make(chan struct{}), waits: make(map[string]time.Duration), down: make(map[string]bool)}, daemons: make(map[string]*daemon)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -171,6 +173,30 @@
 	return hosts
 }
 
+// TestWatchInsteadOfAWatcherIsShort has all watchers fail, and checks how long the other daemons have the
+// store hold their watches. The store may be silent, so that they learn only afterwards that it has not
+// received them.
+func TestWatchInsteadOfAWatcherIsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 6)
+		for _, host := range f.watchers() {
+			f.store.fail(host)
+		}
+		time.Sleep(3 * time.Second)
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		short := 0
+		for host, wait := range f.store.waits {
+			if !f.store.down[host] {
+				is.True(wait <= time.Second)
+				short++
+			}
+		}
+		is.Equal(short, 4)
+	})
+}
+
 // slowest writes a change and returns the time until it has reached the last daemon that is
 // neither frozen nor cut off from the store.
 func (f *fleet) slowest(t *testing.T) time.Duration {
