--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// watchTimeout is how long the store holds one watch call without changes. Keep-alive
-	// probes detect a dead connection earlier; the timeout bounds the cases they miss.
-	watchTimeout = 25 * time.Second
+	// minWait is how long the store holds the first watch after a change. Each one that succeeds without
+	// changes doubles it up to maxWait. A watch that reaches a silent store is lost, which shows
+	// only after its wait, and a store that falls silent does so more often after a change than
+	// after the end of a long watch, since many more watches begin there.
+	minWait = 500 * time.Millisecond
+	maxWait = 25 * time.Second
 	// minBackoff is the delay after the first failed call, before jitter. It doubles up to
 	// maxBackoff, so that every daemon reads the store within two seconds of the end of an
 	// outage.
@@ -46,7 +49,8 @@
 	started     bool   // the table has been listed since the start
 	era         uint64 // latest that a response was from
 	listed      bool
-	relistAt    time.Time // zero if no further listing is due
+	relistAt    time.Time     // zero if no further listing is due
+	wait        time.Duration // of the next watch, unless the store is failing
 	fresh       bool      // no watch has succeeded since the table was listed
 	backoff     time.Duration
 	failing     atomic.Bool
@@ -56,7 +60,7 @@
 // New returns a follower that passes the changes of the table to apply, in order. The pause
 // after each change lets the next call return several changes at once.
 func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, pause time.Duration, apply Apply) *Follower {
-	f := &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, backoff: minBackoff}
+	f := &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, wait: minWait, backoff: minBackoff}
 	f.respondedAt.Store(clock.Now().UnixNano())
 	return f
 }
@@ -104,7 +108,7 @@
 		f.recordRevision(page, true)
 		return nil
 	}
-	page, err := f.store.Watch(ctx, f.table, f.revision, f.watchTimeout())
+	page, err := f.store.Watch(ctx, f.table, f.revision, f.watchWait())
 	var historyErr *catkinrun.HistoryError
 	if errors.As(err, &historyErr) {
 		f.listed = false
@@ -123,18 +127,24 @@
 	f.fresh = false
 	f.recordRevision(page, page.Complete)
 	if len(page.Rows) == 0 && !page.Complete {
+		f.wait = min(2*f.wait, maxWait)
 		return nil
 	}
+	f.wait = minWait
 	f.apply(page, page.Complete)
 	return f.clock.Wait(ctx, f.pause)
 }
 
-// watchTimeout returns how long the next watch may wait.
-func (f *Follower) watchTimeout() time.Duration {
+// watchWait returns how long the store may hold the next watch. As long as it is failing the store is asked
+// for a response at once, so that a request that is lost shows early.
+func (f *Follower) watchWait() time.Duration {
+	if f.failing.Load() {
+		return 0
+	}
 	if f.relistAt.IsZero() {
-		return watchTimeout
+		return f.wait
 	}
-	return min(watchTimeout, max(0, f.relistAt.Sub(f.clock.Now())))
+	return min(f.wait, max(0, f.relistAt.Sub(f.clock.Now())))
 }
 
 // checkEra refuses a page from before a restore of the store, which another daemon may still have.
@@ -168,6 +178,7 @@
 }
 
 func (f *Follower) waitAfterFailure(ctx context.Context, err error) error {
+	f.wait = minWait
 	if f.failing.CompareAndSwap(false, true) {
 		f.log.WithError(err).WithField("table", f.table).Warn("follower: store is unavailable")
 	}
--- a/follower/silence_test.go
+++ b/follower/silence_test.go
@@ -63,7 +63,10 @@
 		changed := s.revision() > after
 		if (changed || !time.Now().Before(due)) && !lost {
 			if !s.silent() {
-				return page(s.revision(), "key"), nil
+				if changed {
+					return page(s.revision(), "key"), nil
+				}
+				return page(after), nil
 			}
 			lost = true
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -151,6 +151,7 @@
 			return page, err
 		}
 		r.log.WithError(err).WithFields(logrus.Fields{"watcher": watcher.Host, "table": name}).Debug("relayer: watcher failed, watching the store")
+		wait = min(wait, turnTime) // the store may be what has failed
 	}
 	page, err := r.Store.Watch(ctx, name, after, wait)
 	r.record(name, page, err, true)
