--- a/follower/follower.go
+++ b/follower/follower.go
@@ -51,7 +51,7 @@
 	listed      bool
 	relistAt    time.Time     // zero if no further listing is due
 	wait        time.Duration // of the next watch, unless the store is failing
-	fresh       bool      // no watch has succeeded since the table was listed
+	fresh       bool          // no watch has succeeded since the table was listed
 	backoff     time.Duration
 	failing     atomic.Bool
 	respondedAt atomic.Int64 // clock reading at the last response or the start, in nanoseconds
