--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,12 +17,11 @@
 )
 
 const (
-	// minWait is how long the store holds the first watch after a change. Each one that succeeds without
-	// changes doubles it up to maxWait. A watch that reaches a silent store is lost, which shows
-	// only after its wait, and a store that falls silent does so more often after a change than
-	// after the end of a long watch, since many more watches begin there.
-	minWait = 500 * time.Millisecond
-	maxWait = 25 * time.Second
+	// shortWait is how long the store holds the first watch after a change, and longWait a watch that
+	// follows another one at once. A watch that reaches a silent store is lost, which shows only after its
+	// wait, and the pause after a change is when the store may fall silent without a call that shows it.
+	shortWait = 500 * time.Millisecond
+	longWait  = 25 * time.Second
 	// minBackoff is the delay after the first failed call, before jitter. It doubles up to
 	// maxBackoff, so that every daemon reads the store within two seconds of the end of an
 	// outage.
@@ -60,7 +59,7 @@
 // New returns a follower that passes the changes of the table to apply, in order. The pause
 // after each change lets the next call return several changes at once.
 func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, pause time.Duration, apply Apply) *Follower {
-	f := &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, wait: minWait, backoff: minBackoff}
+	f := &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, wait: shortWait, backoff: minBackoff}
 	f.respondedAt.Store(clock.Now().UnixNano())
 	return f
 }
@@ -127,10 +126,10 @@
 	f.fresh = false
 	f.recordRevision(page, page.Complete)
 	if len(page.Rows) == 0 && !page.Complete {
-		f.wait = min(2*f.wait, maxWait)
+		f.wait = longWait
 		return nil
 	}
-	f.wait = minWait
+	f.wait = shortWait
 	f.apply(page, page.Complete)
 	return f.clock.Wait(ctx, f.pause)
 }
@@ -178,7 +177,7 @@
 }
 
 func (f *Follower) waitAfterFailure(ctx context.Context, err error) error {
-	f.wait = minWait
+	f.wait = shortWait
 	if f.failing.CompareAndSwap(false, true) {
 		f.log.WithError(err).WithField("table", f.table).Warn("follower: store is unavailable")
 	}
