--- a/crash.go
+++ b/crash.go
@@ -15,8 +15,8 @@
 	Refused Fingerprints `json:"refused,omitempty" cbor:"refused"` // requests that are refused for long
 }
 
-// Equal reports whether two reports of a host state the same.
-func (r CrashReport) Equal(other CrashReport) bool {
+// SameReport reports whether two reports of a host state the same.
+func (r CrashReport) SameReport(other CrashReport) bool {
 	return slices.EqualFunc(r.Crashes, other.Crashes, Crash.Equal) && slices.Equal(r.Refused, other.Refused)
 }
 
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -181,7 +181,7 @@
 // publishLocked publishes what this daemon states of its server, if it is not what it has stated last.
 func (s *Screener) publishLocked() {
 	report := s.reportLocked(s.host)
-	if !report.Equal(s.published) {
+	if !report.SameReport(s.published) {
 		s.published = report
 		s.publish(report)
 	}
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -53,7 +53,7 @@
 		for _, host := range slices.Sorted(maps.Keys(f.hosts)) {
 			f.hosts[host].Merge(reports)
 		}
-		changed = !maps.EqualFunc(before, f.reports, catkinrun.CrashReport.Equal)
+		changed = !maps.EqualFunc(before, f.reports, catkinrun.CrashReport.SameReport)
 	}
 }
 
