--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -196,11 +196,11 @@
 
 func (d *Daemon) applyMembers(page catkinrun.Page, complete bool) {
 	d.locator.Apply(page, complete)
-	d.screener.Merge(d.locator.CrashReports())
-	d.broker.Apply(page, complete)
 	if complete {
-		d.registrar.Restore(d.locator.Row(d.settings.Host))
+		d.registrar.Restore(d.locator.Row(d.settings.Host)) // first, since the others publish the row
 	}
+	d.screener.Merge(d.locator.CrashReports())
+	d.broker.Apply(page, complete)
 }
 
 // ready reports whether callers may send new requests to this daemon.
--- /dev/null
+++ b/daemon/members_test.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/journaler"
+	"github.com/catkinrun/catkinrun/loader"
+	"github.com/catkinrun/catkinrun/locator"
+	"github.com/catkinrun/catkinrun/screener"
+)
+
+// TestRestartedDaemonPublishesCrashesWithItsServer starts a daemon whose row has a server and an end of an
+// earlier one. The row that the daemon publishes because of that end must have the server.
+func TestRestartedDaemonPublishesCrashesWithItsServer(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewFake()
+	journal := journaler.New(now, io.Discard, logrus.InfoLevel)
+	d := &Daemon{
+		settings: loader.Settings{Host: "h", Zone: "z", Times: loader.Times{Store: catkinrun.Duration(time.Second)}},
+		clock:    now, leaseClock: now, journal: journal, log: journal.Logger(), metrics: metrics.NewSet(),
+	}
+	d.build()
+	published := 0
+	d.screener = screener.New(now, d.log, "h", func(catkinrun.CrashReport) {
+		published++
+		server, _ := d.registrar.Server()
+		is.Equal(server.ID, "i-2")
+	})
+	row, err := json.Marshal(catkinrun.Member{
+		Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "former", Server: &catkinrun.Server{ID: "i-2", Service: "s", Slots: 1, StartUnixMilli: 2},
+		CrashReport: catkinrun.CrashReport{Crashes: []catkinrun.Crash{{Server: "i-1@1", Requests: catkinrun.Fingerprints{7}}}},
+	})
+	is.NoErr(err)
+	d.applyMembers(catkinrun.Page{Rows: []catkinrun.Row{{Key: locator.Key("h"), Value: row, Revision: 3}}, Revision: 3}, true)
+	is.Equal(published, 1)
+}
