--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -343,6 +343,7 @@
 // so that a host sees a request of a team every 20 s. An even division of the rates among
 // the hosts, or tokens held in advance by hosts, would refuse many of them.
 func TestThinDemandAcrossManyHosts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 100, sameTeams(90, 7))
 		f.startLoads(t.Context(), 1, 0.62*7, f.hosts, 10*time.Second).Wait()
@@ -354,6 +355,7 @@
 // TestTeamOnFewHostsSurvivesCrashOfOwner ends the process of the owner. Requests of a team on
 // two of 100 hosts wait for the next owner instead of being refused.
 func TestTeamOnFewHostsSurvivesCrashOfOwner(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 100, sameTeams(1, 100))
 		owner := f.owner(teamNames(0))
@@ -377,6 +379,7 @@
 // through four hosts with an objective of half a second. The next owner takes over what is
 // left in the buckets; with empty ones, requests that wait for the change would be refused.
 func TestPlannedStopOfOwnerRefusesNothing(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 4, sameTeams(1, 200))
 		f.patience = limiter.Patience{NoAnswer: 125 * time.Millisecond, AboveRate: 62 * time.Millisecond}
@@ -400,6 +403,7 @@
 // TestAllProcessesRestart ends all processes at one moment and starts them again within half
 // a second. The daemon on the owner's host takes over at once, and requests wait for it.
 func TestAllProcessesRestart(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 13, sameTeams(8, 100))
 		for _, h := range f.hosts {
@@ -419,6 +423,7 @@
 // TestOwnerCutOffIsReplaced cuts the owner off without a sign to the other hosts, and checks
 // that teams are served within their rates three seconds later.
 func TestOwnerCutOffIsReplaced(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 100, sameTeams(20, 30))
 		f.owner(teamNames(0)).cut.Store(true)
@@ -437,6 +442,7 @@
 // TestBoundHoldsWhileHostsAreCutOff sends eight times the rate of each team through all
 // hosts, while a sixth of the hosts, the owner among them, is cut off and returns.
 func TestBoundHoldsWhileHostsAreCutOff(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 30, sameTeams(4, 40))
 		loads := f.startLoads(t.Context(), 4, 8*40, f.hosts, 25*time.Second)
@@ -471,6 +477,7 @@
 // TestHostsCutOffFromOthersTakeNoOwnership cuts two of twelve hosts off from the others, the
 // owner first, while they still reach the store. They used to replace every owner.
 func TestHostsCutOffFromOthersTakeNoOwnership(t *testing.T) {
+	t.Parallel()
 	for _, restart := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			f := startFleet(t, 12, sameTeams(8, 100))
@@ -508,6 +515,7 @@
 // TestHostsThatLeftForGoodAreNoVoters has the rows of 24 hosts that have left stay behind, and
 // restarts all 12 daemons. No owner had a majority then.
 func TestHostsThatLeftForGoodAreNoVoters(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 12, sameTeams(8, 100))
 		f.addGone(24, true)
@@ -528,6 +536,7 @@
 // beside the rows of hosts that left long ago, and checks that the others are served within their
 // rates and alone in the members table.
 func TestHostsThatDiedForGoodAreRemoved(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 12, sameTeams(8, 100))
 		f.addGone(4, true)
@@ -548,6 +557,7 @@
 // TestMinorityRemovesNobody cuts five of twelve hosts off from the others, but not from the store,
 // the owner among them.
 func TestMinorityRemovesNobody(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 12, sameTeams(8, 100))
 		for _, h := range f.hosts[5:] {
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -195,6 +195,7 @@
 // TestRateHoldsOverAllHosts partitions hosts, including owners, while callers send requests
 // far above the rate, and checks the bound over all hosts together.
 func TestRateHoldsOverAllHosts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, rapid.IntRange(1, 9).Draw(t, "hosts"))
 		anyHost := rapid.IntRange(0, len(f.daemons)-1)
@@ -229,6 +230,7 @@
 // TestRateHoldsOverRestores restores the store from backups and restarts daemons, alone and together,
 // beside partitions. Two owners at the same time would serve twice the rate.
 func TestRateHoldsOverRestores(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, rapid.IntRange(3, 7).Draw(t, "hosts"))
 		anyHost := rapid.IntRange(0, len(f.daemons)-1)
@@ -269,6 +271,7 @@
 
 // TestSteadyDemandBelowTheRateIsServed sends 60 % of the rate to one of six hosts.
 func TestSteadyDemandBelowTheRateIsServed(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, 6)
 		for range 200 {
@@ -290,6 +293,7 @@
 // TestOwnerIsReplacedWhenSuccessorsCrash crashes the owner and the next two owners after
 // it, and checks that requests below the rate are served four seconds after the last crash.
 func TestOwnerIsReplacedWhenSuccessorsCrash(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, 8)
 		for range 100 {
--- a/limiter/restore_test.go
+++ b/limiter/restore_test.go
@@ -12,6 +12,7 @@
 // TestOwnerFailsAfterRestore restores a backup from before the present owner was assigned, and ends
 // the owner's process. Claims used to fail for ever, since each named a revision that was lost.
 func TestOwnerFailsAfterRestore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 12, sameTeams(8, 100))
 		backup := f.store.server.Backup()
@@ -33,6 +34,7 @@
 // all daemons but that owner at the same moment, while teams send four times their rates. The backup
 // names the former owner, to which restarted voters used to give their votes at once.
 func TestAllRestartAfterRestore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 12, sameTeams(4, 40))
 		backup := f.store.server.Backup()
@@ -60,6 +62,7 @@
 // TestOwnerWritesAssignmentAgainAfterRestore restores a backup from before the present owner was assigned,
 // and checks that its teams notice nothing and that the store names it again.
 func TestOwnerWritesAssignmentAgainAfterRestore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 12, sameTeams(8, 100))
 		backup := f.store.server.Backup()
