--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// shortWait is how long the store holds the first watch after a change, and longWait a watch that
-	// follows another one at once. A watch that reaches a silent store is lost, which shows only after its
-	// wait, and the pause after a change is when the store may fall silent without a call that shows it.
+	// shortWait is how long the store holds the first watch after a change, and longWait one that follows
+	// another watch at once. A watch that reaches a silent store is lost, which shows only after its wait.
+	// In the pause after a change the store can fall silent unnoticed, so that the next wait is short.
 	shortWait = 500 * time.Millisecond
 	longWait  = 25 * time.Second
 	// minBackoff is the delay after the first failed call, before jitter. It doubles up to
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -39,6 +39,13 @@
 	return s.next("watch after " + string(rune('0'+after)))
 }
 
+// newFollower returns a follower of a table that writes no log.
+func newFollower(s catkinrun.Store, c catkinrun.Clock, pause time.Duration, apply follower.Apply) *follower.Follower {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return follower.New(s, c, log, "t", pause, apply)
+}
+
 func page(revision catkinrun.Revision, keys ...string) catkinrun.Page {
 	p := catkinrun.Page{Revision: revision}
 	for _, key := range keys {
@@ -52,10 +59,8 @@
 	s := &store{responses: []response{
 		{page: page(1, "a")}, {page: page(3, "b")}, {err: &catkinrun.HistoryError{}}, {page: page(7, "a", "c")}, {page: page(8)},
 	}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	var applied []string
-	f := follower.New(s, clock.NewFake(), log, "t", 0, func(p catkinrun.Page, whole bool) {
+	f := newFollower(s, clock.NewFake(), 0, func(p catkinrun.Page, whole bool) {
 		for _, row := range p.Rows {
 			applied = append(applied, row.Key)
 		}
@@ -73,9 +78,7 @@
 func TestFailedWatchKeepsTheRevision(t *testing.T) {
 	is := is.New(t)
 	s := &store{responses: []response{{page: page(1)}, {err: &catkinrun.StoreError{}}, {page: page(2)}}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	f := follower.New(s, clock.NewFake(), log, "t", 0, func(catkinrun.Page, bool) {})
+	f := newFollower(s, clock.NewFake(), 0, func(catkinrun.Page, bool) {})
 	is.NoErr(f.Step(context.Background()))
 	is.True(f.Step(context.Background()) != nil)
 	is.NoErr(f.Step(context.Background()))
@@ -85,10 +88,8 @@
 // TestAgeBeforeFirstResponse asks for the age of the table before the store has responded.
 func TestAgeBeforeFirstResponse(t *testing.T) {
 	is := is.New(t)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	c := clock.NewFake()
-	f := follower.New(&store{}, c, log, "t", 0, func(catkinrun.Page, bool) {})
+	f := newFollower(&store{}, c, 0, func(catkinrun.Page, bool) {})
 	c.Advance(3 * time.Second)
 	is.Equal(f.Age(), 3*time.Second) // since the start
 }
@@ -101,10 +102,8 @@
 	s := &store{responses: []response{
 		{page: page(1)}, {err: &catkinrun.HistoryError{}}, {page: page(restored, "a")}, {page: page(restored)}, {err: &catkinrun.HistoryError{}}, {page: page(restored, "a")}, {page: page(restored)},
 	}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	c := clock.NewFake()
-	f := follower.New(s, c, log, "t", 0, func(catkinrun.Page, bool) {})
+	f := newFollower(s, c, 0, func(catkinrun.Page, bool) {})
 	is.NoErr(f.Step(context.Background()))
 	_ = f.Step(context.Background()) // the history is lost
 	is.NoErr(f.Step(context.Background()))
@@ -124,10 +123,8 @@
 func TestPageFromBeforeARestoreIsNotApplied(t *testing.T) {
 	is := is.New(t)
 	s := &store{responses: []response{{page: page(catkinrun.NewRevision(2, 1), "new")}, {page: page(catkinrun.NewRevision(1, 9), "old")}}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	var applied []string
-	f := follower.New(s, clock.NewFake(), log, "t", 0, func(p catkinrun.Page, _ bool) {
+	f := newFollower(s, clock.NewFake(), 0, func(p catkinrun.Page, _ bool) {
 		for _, row := range p.Rows {
 			applied = append(applied, row.Key)
 		}
@@ -151,7 +148,7 @@
 		s := &store{responses: responses}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		f := follower.New(s, clock.NewFake(), log, "t", 0, func(catkinrun.Page, bool) {})
+		f := newFollower(s, clock.NewFake(), 0, func(catkinrun.Page, bool) {})
 		for range responses {
 			is.NoErr(f.Step(context.Background()))
 		}
--- a/follower/silence_test.go
+++ b/follower/silence_test.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/clock"
-	"github.com/catkinrun/catkinrun/follower"
 )
 
 const (
@@ -77,10 +74,8 @@
 
 // appliedAt follows a table for some time and returns when each of its revisions was applied first.
 func appliedAt(t *testing.T, s *silentStore, duration time.Duration) map[catkinrun.Revision]time.Time {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	applied := make(map[catkinrun.Revision]time.Time)
-	f := follower.New(s, clock.System{}, log, "t", 200*time.Millisecond, func(p catkinrun.Page, _ bool) {
+	f := newFollower(s, clock.System{}, 200*time.Millisecond, func(p catkinrun.Page, _ bool) {
 		if _, ok := applied[p.Revision]; !ok {
 			applied[p.Revision] = time.Now()
 		}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,7 +10,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/relayer"
@@ -143,8 +141,7 @@
 
 func startFleet(t *testing.T, count int) *fleet {
 	f := &fleet{store: &store{revision: 1, changed: make(chan struct{}), waits: make(map[string]time.Duration), down: make(map[string]bool)}, daemons: make(map[string]*daemon)}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := discardLog()
 	ctx, cancel := context.WithCancel(t.Context())
 	for i := range count {
 		m := catkinrun.Member{Host: fmt.Sprintf("host-%02d", i), Zone: "z"}
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -229,16 +229,16 @@
 	now := s.clock.Now()
 	counted := s.countLocked(statement{host: host, server: c.Server})
 	i := s.findLocked(host, c.Server)
-	if i < 0 && counted {
-		return
-	}
 	if i < 0 {
+		if counted {
+			return
+		}
 		s.ends = append(s.ends, end{host: host, at: now, Crash: catkinrun.Crash{Server: c.Server}})
 		s.forgetLocked(max(0, len(s.ends)-maxEnds))
 		i = len(s.ends) - 1
 	}
 	e := &s.ends[i]
-	if len(c.Requests) <= len(e.Requests) && slices.Equal(c.Requests, e.Requests[:len(c.Requests)]) {
+	if slices.Equal(c.Requests, e.Requests) {
 		return // the usual case: a row states it again
 	}
 	for _, f := range c.Requests {
