--- a/review/_standin/forgotten_leave.go
+++ b/review/_standin/forgotten_leave.go
@@ -4,11 +4,12 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// forgottenLeave has a server deregister during a store outage, and the daemon that has acknowledged it killed
-// and started again. After both disruptions, and contact, it checks whether the server gets new requests.
+// forgottenLeave has a server deregister during a store outage, and the daemon that has acknowledged it stopped
+// as planned and started again. After both, and contact, it checks whether the server gets new requests.
 func forgottenLeave(trouble bool) {
 	s := newStore()
 	a, b, c := newHost("host-a", "zone-a", "recipes", s), newHost("host-b", "zone-b", "orders", s), newHost("host-c", "zone-c", "orders", s)
@@ -43,10 +44,10 @@
 	}
 	acknowledged := time.Now()
 	record("server  %s: deregistration acknowledged", leaver.id)
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	if trouble {
-		b.kill()
-		time.Sleep(300 * time.Millisecond)
+		b.signal(syscall.SIGTERM)
+		<-b.ended
 		b.start()
 	}
 	time.Sleep(time.Until(acknowledged.Add(3500 * time.Millisecond)))
