Registrar: announcements are judged before they take effect, and a server that goes on announcing itself comes back

Cause: an announcement took effect before it was judged. A later start ended the recorded server for good, which otherwise only its deregistration does; so did announcements with an existing service, under the server's own ID, or with a high sequence number.

The log has "server announced" of the foreign server once and "late announcement ignored" for each later announcement of the host's server.

Ruled out: that both are recorded in turn (no second "server announced"). Checking the service alone: it leaves the other forms.

A later start waits while the recorded server announces itself. A replaced server is used again after two announcements in order. Draining is in effect whatever the sequence number says. The row of an earlier start is checked likewise.

Three tests of the registrar now let the former server be silent for two seconds before another takes its place, as a crash does; the servers of filterer's crash tests refuse requests for another instance, as servers do.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -134,7 +134,7 @@
 	d.configurer = configurer.New(d.clock, d.log)
 	d.locator = locator.New(d.log)
 	drainGrace := time.Duration(drainServeFraction * float64(s.Times.Drain))
-	d.registrar = registrar.New(d.store, d.locator, d.clock, d.log, self, drainGrace)
+	d.registrar = registrar.New(d.store, d.locator, d.configurer, d.clock, d.log, self, s.Service, drainGrace)
 	d.broker = broker.New(d.store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
--- a/daemon/members_test.go
+++ b/daemon/members_test.go
@@ -25,7 +25,7 @@
 	now := clock.NewFake()
 	journal := journaler.New(now, io.Discard, logrus.InfoLevel)
 	d := &Daemon{
-		settings: loader.Settings{Host: "h", Zone: "z", Times: loader.Times{Store: catkinrun.Duration(time.Second)}},
+		settings: loader.Settings{Host: "h", Zone: "z", Service: "s", Times: loader.Times{Store: catkinrun.Duration(time.Second)}},
 		clock:    now, leaseClock: now, journal: journal, log: journal.Logger(), metrics: metrics.NewSet(),
 	}
 	d.build()
--- a/filterer/crash_test.go
+++ b/filterer/crash_test.go
@@ -105,7 +105,7 @@
 	h.locator = locator.New(logrus.New())
 	h.deps = newDependencies(h.fleet.t, h.name, h.address, h.locator, 0)
 	h.deps.Self.Peer = h.peer.Listener.Addr().String()
-	h.deps.Registrar = registrar.New(h.fleet, h.locator, h.deps.Clock, h.deps.Journal.Logger(), h.deps.Self, 0)
+	h.deps.Registrar = registrar.New(h.fleet, h.locator, h.deps.Configurer, h.deps.Clock, h.deps.Journal.Logger(), h.deps.Self, service, 0)
 	h.deps.Screener = screener.New(h.deps.Clock, h.deps.Journal.Logger(), h.name, h.deps.Registrar.ReportCrashes)
 	route := func(name string, idempotent bool) catkinrun.Resource {
 		return catkinrun.Resource{Kind: catkinrun.KindRoute, Name: name, Route: &catkinrun.Route{
@@ -123,9 +123,13 @@
 	socket, err := net.Listen("tcp", h.address)
 	is.New(h.fleet.t).NoErr(err)
 	h.address = socket.Addr().String()
-	h.starts.Add(1)
+	id := h.instance(h.starts.Add(1))
 	server := &http.Server{}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if expected := r.Header.Get("X-Expect-Instance"); expected != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		if strings.Contains(r.URL.Path, "deadly") {
 			h.fleet.deadly.Add(1)
 			time.Sleep(crashDelay)
@@ -145,10 +149,13 @@
 	go func() { _ = server.Serve(socket) }()
 }
 
+// instance returns the ID of a start of the server.
+func (h *crashHost) instance(start int64) string { return fmt.Sprint(h.name, "-", start) }
+
 // announce has the present start of the server announce itself.
 func (h *crashHost) announce() {
 	start := h.starts.Load()
-	h.deps.Registrar.Announce(catkinrun.Server{ID: fmt.Sprint(h.name, "-", start), Service: service, Slots: 50, StartUnixMilli: start, Sequence: 1})
+	is.New(h.fleet.t).NoErr(h.deps.Registrar.Announce(catkinrun.Server{ID: h.instance(start), Service: service, Slots: 50, StartUnixMilli: start, Sequence: 1}))
 }
 
 // send sends a request through a host, with an ID of its own.
--- a/filterer/forward_test.go
+++ b/filterer/forward_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/configurer"
 	"github.com/catkinrun/catkinrun/correlator"
 	"github.com/catkinrun/catkinrun/exchanger"
 	"github.com/catkinrun/catkinrun/journaler"
@@ -30,16 +31,18 @@
 	system := clock.System{}
 	journal := journaler.New(system, io.Discard, logrus.InfoLevel)
 	self := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
-	reg := registrar.New(nil, locator.New(journal.Logger()), system, journal.Logger(), self, 0)
-	reg.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 1})
+	reg := registrar.New(nil, locator.New(journal.Logger()), configurer.New(system, journal.Logger()), system, journal.Logger(), self, "s", 0)
+	_, err := reg.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 1})
+	is.NoErr(err)
 	step := newForward(&Dependencies{
 		Clock: system, Journal: journal, Registrar: reg, Correlator: correlator.New(), HeaderCodec: platform.HeaderCodec{}, Server: "127.0.0.1:1",
 		Budget: retrier.New(0, func() int { return 1 }), Backend: exchanger.New(time.Second, time.Second, 1),
 		Screener: screener.New(system, journal.Logger(), "h", reg.ReportCrashes),
 	})
-	reg.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 2, Draining: true})
+	_, err = reg.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 2, Draining: true})
+	is.NoErr(err)
 	c := &catkinrun.Call{Envelope: catkinrun.Envelope{Request: "r", Route: "read", Service: "s", TimeLeft: time.Second}}
-	err := step.Process(context.Background(), c, nil)
+	err = step.Process(context.Background(), c, nil)
 	var refusal *catkinrun.Refusal
 	is.True(errors.As(err, &refusal))
 	is.Equal(refusal.Reason, catkinrun.ReasonLeaving)
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -89,7 +89,8 @@
 		{Kind: catkinrun.KindTeam, Name: teamName, Team: &catkinrun.Team{Keys: []string{key}}},
 	}}, "test")
 	is.NoErr(err)
-	deps.Registrar.RecordAnnouncement(catkinrun.Server{ID: instance, Service: service, Slots: 8, Sequence: 1})
+	_, err = deps.Registrar.RecordAnnouncement(catkinrun.Server{ID: instance, Service: service, Slots: 8, Sequence: 1})
+	is.NoErr(err)
 	is.NoErr(deps.Registrar.Publish(context.Background()))
 	return newGatewayOf(deps)
 }
@@ -106,7 +107,7 @@
 	obs := observer.New(system, log, drainGrace)
 	adm := admitter.New(8, system)
 	go func() { _ = adm.Serve(t.Context()) }()
-	reg := registrar.New(store{}, hosts, system, log, self, drainGrace)
+	reg := registrar.New(store{}, hosts, conf, system, log, self, service, drainGrace)
 	scr := screener.New(system, log, host, reg.ReportCrashes)
 	return &filterer.Dependencies{
 		Self: self, Service: service, Server: address, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
--- a/registrar/order.go
+++ b/registrar/order.go
@@ -4,54 +4,119 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/catkinrun/catkinrun"
 )
 
-// rival is a server with an earlier start than the recorded one that announces itself nevertheless:
-// either the announcements are late, or it started after the time of day was set back.
+// rival is a server that announces itself in order although a recorded one seems to be newer: its
+// announcements are late, its host's time of day was set back, or the recorded server is not beside this
+// daemon at all.
 type rival struct {
 	start    string
 	sequence uint64
 	since    time.Time // of the first of its announcements in order
 }
 
-// endedServer identifies a backend server process that has ended.
+// endedServer identifies a backend server process that has deregistered.
 type endedServer struct {
 	id             string
 	startUnixMilli int64
 }
 
-// outdatedLocked reports whether an announcement is older than the recorded state.
-func (r *Registrar) outdatedLocked(s catkinrun.Server) bool {
-	if r.endedLocked(s) {
-		return true
-	}
+// refusals counts announcements that name no server, to bound the log.
+type refusals struct {
+	reportAt   time.Time // of the next log line at the earliest
+	unreported int
+}
+
+// checkLocked fails with *catkinrun.InvalidError if an announcement names no server: neither the settings nor
+// the configuration have its service, or the server announced another one before. A running server is known
+// even if the configuration no longer has its service.
+func (r *Registrar) checkLocked(s catkinrun.Server) error {
 	current := r.self.Server
-	if current == nil || !r.announced {
-		return current != nil && s.StartUnixMilli < current.StartUnixMilli
+	known := s.Service == r.service
+	switch {
+	case known:
+	case current != nil && current.Start() == s.Start():
+		known = s.Service == current.Service
+	default:
+		known = r.configuration.Snapshot().HasService(s.Service)
 	}
-	if s.StartUnixMilli != current.StartUnixMilli {
-		return s.StartUnixMilli < current.StartUnixMilli
+	if known {
+		return nil
+	}
+	return &catkinrun.InvalidError{Where: "announcement of " + s.ID, Field: "service", Reason: "neither the settings nor the configuration name " + s.Service}
+}
+
+// reportRefusalLocked logs an announcement that names no server, at most one in each refusalInterval.
+func (r *Registrar) reportRefusalLocked(id string, cause error) {
+	now := r.clock.Now()
+	if now.Before(r.refusals.reportAt) {
+		r.refusals.unreported++
+		return
 	}
-	return s.ID == current.ID && s.Sequence <= current.Sequence
+	r.log.WithError(cause).WithFields(logrus.Fields{"server": id, "unreported": r.refusals.unreported}).Warn("registrar: announcement names no server, refused")
+	r.refusals = refusals{reportAt: now.Add(refusalInterval)}
 }
 
-// replacesSilentLocked reports whether a server with an earlier start than the recorded one is in use
-// nevertheless: it has announced itself in order for silenceTimeout, and the recorded one has not.
-func (r *Registrar) replacesSilentLocked(s catkinrun.Server) bool {
+// acceptsLocked reports whether an announcement describes the server that is now beside this daemon.
+func (r *Registrar) acceptsLocked(s catkinrun.Server) bool {
 	current := r.self.Server
-	if current == nil || current.ID == s.ID || r.endedLocked(s) {
+	replacedAt, wasReplaced := r.replacedSequenceLocked(s)
+	switch {
+	case r.endedLocked(s):
 		return false
+	case current != nil && current.Start() == s.Start():
+		return !r.announced || s.Sequence > current.Sequence || s.Draining || r.outlastsLocked(s, silenceTimeout)
+	case wasReplaced:
+		return s.Sequence > replacedAt && r.outlastsLocked(s, returnTimeout)
+	case current != nil && s.StartUnixMilli < current.StartUnixMilli:
+		return r.outlastsLocked(s, silenceTimeout)
+	case r.holdsLocked(s):
+		r.keepCandidateLocked(s)
+		return false
+	}
+	return true
+}
+
+// holdsLocked reports whether the recorded server, or the one that the settings name, stays in use although a
+// later start has been announced, since it may still announce itself.
+func (r *Registrar) holdsLocked(s catkinrun.Server) bool {
+	if r.clock.Now().Sub(r.announcedAt) >= replaceTimeout {
+		return false
+	}
+	if s.Service != r.service {
+		return true
 	}
+	current := r.self.Server
+	return current != nil && r.announced && current.Service == r.service && !current.Draining && !r.down
+}
+
+// keepCandidateLocked keeps a server of this host's service, to use it once the recorded one is unreachable.
+func (r *Registrar) keepCandidateLocked(s catkinrun.Server) {
+	if s.Service != r.service {
+		return
+	}
+	if r.candidate != nil && r.candidate.Start() == s.Start() {
+		s.Draining = s.Draining || r.candidate.Draining
+		s.Sequence = max(s.Sequence, r.candidate.Sequence)
+	}
+	r.candidate = &s
+}
+
+// outlastsLocked reports whether a server has announced itself in order for timeout, and the recorded one has not.
+// An accepted announcement begins this time anew.
+func (r *Registrar) outlastsLocked(s catkinrun.Server, timeout time.Duration) bool {
 	now := r.clock.Now()
 	if r.rival.start != s.Start() || s.Sequence <= r.rival.sequence {
 		r.rival = rival{start: s.Start(), since: now}
 	}
 	r.rival.sequence = s.Sequence
-	return now.Sub(r.announcedAt) >= silenceTimeout && now.Sub(r.rival.since) >= silenceTimeout
+	return now.Sub(r.rival.since) >= timeout
 }
 
-// endedLocked reports whether a server is known to have ended.
+// endedLocked reports whether a server has deregistered.
 func (r *Registrar) endedLocked(s catkinrun.Server) bool {
 	return slices.ContainsFunc(r.ended, func(e endedServer) bool { return e.id == s.ID && s.StartUnixMilli <= e.startUnixMilli })
 }
@@ -62,3 +127,35 @@
 		r.ended = r.ended[1:]
 	}
 }
+
+// endOthersLocked records the deregistration of a server that is not the recorded one.
+func (r *Registrar) endOthersLocked(id string) {
+	ended := catkinrun.Server{ID: id}
+	if r.candidate != nil && r.candidate.ID == id {
+		ended, r.candidate = *r.candidate, nil
+	}
+	for _, s := range r.replaced {
+		if s.ID == id && s.StartUnixMilli > ended.StartUnixMilli {
+			ended = s
+		}
+	}
+	r.endLocked(ended)
+}
+
+// replaceLocked records that a server is no longer the recorded one, without its deregistration.
+func (r *Registrar) replaceLocked(s catkinrun.Server) {
+	r.replaced = append(r.replaced, s)
+	if len(r.replaced) > maxEndedServers {
+		r.replaced = r.replaced[1:]
+	}
+}
+
+// replacedSequenceLocked returns the number of the last announcement of a server that another one has replaced.
+func (r *Registrar) replacedSequenceLocked(s catkinrun.Server) (sequence uint64, ok bool) {
+	for _, former := range r.replaced {
+		if former.Start() == s.Start() {
+			return former.Sequence, true
+		}
+	}
+	return 0, false
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,11 +26,19 @@
 	retryInterval = 250 * time.Millisecond
 	// checkInterval is the time between two checks whether the published row is up to date.
 	checkInterval = 500 * time.Millisecond
+	// replaceTimeout is how long the recorded server must have announced nothing before one with a later
+	// start replaces it, unless it drains or is unreachable: a server announces itself every 1.5 s.
+	replaceTimeout = 2 * time.Second
+	// returnTimeout is how long a server that was replaced must announce itself, and its successor not, before
+	// it is used again; two announcements are more than a single late one.
+	returnTimeout = time.Second
 	// silenceTimeout is how long the recorded server must have announced nothing before one with an
-	// earlier start replaces it: a server announces itself every 1.5 s, and late announcements of one
-	// that has ended arrive within seconds.
+	// earlier start replaces it, or a lower sequence number is accepted: late announcements of a server that
+	// has ended arrive within seconds.
 	silenceTimeout = 4 * time.Second
-	// maxEndedServers limits the ended servers kept to recognize their late announcements.
+	// refusalInterval is the minimum time between two log lines on announcements that name no server.
+	refusalInterval = time.Minute
+	// maxEndedServers limits the ended and the replaced servers kept to recognize their late announcements.
 	maxEndedServers = 64
 )
 
@@ -40,15 +49,22 @@
 	Apply(page catkinrun.Page, complete bool)
 }
 
+// Configuration has the configuration in force.
+type Configuration interface {
+	Snapshot() *catkinrun.Snapshot
+}
+
 // Registrar publishes one host's member row. It is safe for concurrent use.
 type Registrar struct {
-	store      catkinrun.Store
-	locator    Locator
-	clock      catkinrun.Clock
-	log        logrus.FieldLogger
-	host       string
-	drainGrace time.Duration
-	changed    chan struct{} // requests a write of the row
+	store         catkinrun.Store
+	locator       Locator
+	configuration Configuration
+	clock         catkinrun.Clock
+	log           logrus.FieldLogger
+	host          string
+	service       string // of the server beside this daemon by the settings
+	drainGrace    time.Duration
+	changed       chan struct{} // requests a write of the row
 
 	mu          sync.Mutex
 	self        catkinrun.Member
@@ -59,15 +75,18 @@
 	unannounced bool      // the server drains by its own responses, and has announced nothing about it
 	announcedAt time.Time // last announcement of the server, or the start of this daemon
 	rival       rival
+	candidate   *catkinrun.Server // later start that is used once the recorded server is unreachable
 	ended       []endedServer
+	replaced    []catkinrun.Server // by others, without a deregistration
+	refusals    refusals
 	waiters     []chan struct{} // each closed once the row is published
 }
 
-// New returns a registrar for the daemon that self describes. A draining server still
+// New returns a registrar for the daemon that self describes, beside a server of a service. A draining server still
 // accepts requests for drainGrace, from entry daemons that know no other server.
-func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, drainGrace time.Duration) *Registrar {
+func New(store catkinrun.Store, locator Locator, configuration Configuration, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, service string, drainGrace time.Duration) *Registrar {
 	return &Registrar{
-		store: store, locator: locator, clock: clock, log: log, host: self.Host, self: self, drainGrace: drainGrace,
+		store: store, locator: locator, configuration: configuration, clock: clock, log: log, host: self.Host, self: self, service: service, drainGrace: drainGrace,
 		changed: make(chan struct{}, 1), announcedAt: clock.Now(),
 	}
 }
@@ -86,11 +105,21 @@
 }
 
 // Announce implements platform.Registrar. It records the announcement and, if that changes
-// the row, waits until the row is published, for at most publishTimeout.
-func (r *Registrar) Announce(s catkinrun.Server) {
-	if published := r.RecordAnnouncement(s); published != nil {
+// the row, waits until the row is published, for at most publishTimeout. It fails with
+// *catkinrun.InvalidError if the announcement names no server.
+func (r *Registrar) Announce(s catkinrun.Server) error {
+	published, err := r.RecordAnnouncement(s)
+	if published != nil {
 		await(published)
 	}
+	return err
+}
+
+// Reject implements platform.Registrar.
+func (r *Registrar) Reject(id string, cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reportRefusalLocked(id, cause)
 }
 
 // await waits until the row is published, for at most publishTimeout.
@@ -103,22 +132,37 @@
 	}
 }
 
-// RecordAnnouncement records an announcement. The returned channel is closed once it is
+// RecordAnnouncement records an announcement; it fails with *catkinrun.InvalidError, and without any effect, if the
+// announcement names no server. The returned channel is closed once the announcement is
 // published; the channel is nil if there is nothing to publish.
-func (r *Registrar) RecordAnnouncement(s catkinrun.Server) chan struct{} {
+func (r *Registrar) RecordAnnouncement(s catkinrun.Server) (chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.outdatedLocked(s) && !r.replacesSilentLocked(s) {
-		r.log.WithFields(logrus.Fields{"server": s.ID, "born": s.StartUnixMilli, "sequence": s.Sequence}).Info("registrar: late announcement ignored")
-		return nil
+	if err := r.checkLocked(s); err != nil {
+		r.reportRefusalLocked(s.ID, err)
+		return nil, err
+	}
+	if !r.acceptsLocked(s) {
+		r.log.WithFields(logrus.Fields{"server": s.ID, "service": s.Service, "born": s.StartUnixMilli, "sequence": s.Sequence}).Info("registrar: late or doubtful announcement ignored")
+		return nil, nil
 	}
-	r.announcedAt, r.rival = r.clock.Now(), rival{}
+	return r.recordLocked(s), nil
+}
+
+// recordLocked records the state of the server beside this daemon. The returned channel is as for
+// RecordAnnouncement.
+func (r *Registrar) recordLocked(s catkinrun.Server) chan struct{} {
+	r.announcedAt, r.rival, r.candidate = r.clock.Now(), rival{}, nil
 	previous := r.self.Server
-	if previous != nil && previous.ID != s.ID {
-		r.endLocked(*previous)
+	if previous != nil && previous.Start() != s.Start() {
+		r.replaceLocked(*previous)
 	}
+	r.replaced = slices.DeleteFunc(r.replaced, func(former catkinrun.Server) bool { return former.Start() == s.Start() })
 	r.coldUntil = r.clock.Now().Add(s.ColdLeft)
 	announcesDrain, sameStart := s.Draining, previous != nil && previous.Start() == s.Start()
+	if sameStart && announcesDrain {
+		s.Sequence = max(s.Sequence, previous.Sequence) // it may be late
+	}
 	if sameStart && previous.Draining {
 		s.Draining = true // a draining server becomes ready again only after a restart
 	}
@@ -185,7 +229,7 @@
 	defer r.mu.Unlock()
 	current := r.self.Server
 	if current == nil || current.ID != id {
-		r.endLocked(catkinrun.Server{ID: id})
+		r.endOthersLocked(id)
 		return nil
 	}
 	r.endLocked(*current)
@@ -209,6 +253,9 @@
 	}
 	r.down = true
 	r.log.WithFields(logrus.Fields{"server": server, "cause": cause}).Warn("registrar: server marked as down")
+	if r.candidate != nil {
+		r.recordLocked(*r.candidate)
+	}
 }
 
 // Leave publishes that this daemon is leaving.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -76,15 +76,42 @@
 	s := &store{rows: make(map[string]catkinrun.Row)}
 	l := locator.New(discardLog())
 	self := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "n"}
-	return registrar.New(s, l, c, discardLog(), self, drainGrace), s, l
+	return registrar.New(s, l, configurationWith("a", "b"), c, discardLog(), self, "a", drainGrace), s, l
+}
+
+// announce has a server announce itself.
+func announce(t interface{ Fatal(...any) }, r *registrar.Registrar, s catkinrun.Server) {
+	if _, err := r.RecordAnnouncement(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// configuration is a configuration in force.
+type configuration struct{ snapshot *catkinrun.Snapshot }
+
+func (c configuration) Snapshot() *catkinrun.Snapshot { return c.snapshot }
+
+// configurationWith returns a configuration with services.
+func configurationWith(services ...string) configuration {
+	data := catkinrun.SnapshotData{Version: 1}
+	for _, name := range services {
+		data.Resources = append(data.Resources, catkinrun.Resource{Kind: catkinrun.KindService, Name: name, Service: &catkinrun.Service{}})
+	}
+	snapshot, err := catkinrun.NewSnapshot(data)
+	if err != nil {
+		panic(err)
+	}
+	return configuration{snapshot}
 }
 
 func TestLateAnnouncementOfEndedServerIsIgnored(t *testing.T) {
 	is := is.New(t)
-	r, _, _ := newRegistrar()
-	r.RecordAnnouncement(catkinrun.Server{ID: "old", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 9})
-	r.RecordAnnouncement(catkinrun.Server{ID: "new", Service: "b", Slots: 1, StartUnixMilli: 200, Sequence: 1})
-	r.RecordAnnouncement(catkinrun.Server{ID: "old", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 10}) // arrives late
+	c := clock.NewFake()
+	r, _, _ := newRegistrarWithGrace(c, 0)
+	announce(t, r, catkinrun.Server{ID: "old", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 9})
+	c.Advance(2 * time.Second)
+	announce(t, r, catkinrun.Server{ID: "new", Service: "b", Slots: 1, StartUnixMilli: 200, Sequence: 1})
+	announce(t, r, catkinrun.Server{ID: "old", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 10}) // arrives late
 	server, accepting := r.Server()
 	is.True(accepting)
 	is.Equal(server.ID, "new")
@@ -93,14 +120,14 @@
 func TestServerRestartsUnderTheSameID(t *testing.T) {
 	is := is.New(t)
 	r, _, _ := newRegistrar()
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 40})
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 40})
 	r.RecordDeregistration("i")
 	_, accepting := r.Server()
 	is.True(!accepting)
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 41})
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 41})
 	_, accepting = r.Server()
 	is.True(!accepting) // the announced process has ended
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 300, Sequence: 1})
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 300, Sequence: 1})
 	_, accepting = r.Server()
 	is.True(accepting)
 }
@@ -108,9 +135,9 @@
 func TestDrainingServerAcceptsNoRequests(t *testing.T) {
 	is := is.New(t)
 	r, _, _ := newRegistrar()
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 1})
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 3, Draining: true})
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 2}) // late
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 1})
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 3, Draining: true})
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 2}) // late
 	_, accepting := r.Server()
 	is.True(!accepting)
 }
@@ -123,19 +150,19 @@
 	for _, drains := range []bool{true, false} {
 		c := clock.NewFake()
 		r, _, _ := newRegistrarWithGrace(c, time.Second)
-		r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 1})
+		announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 1})
 		if drains {
-			r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 2, Draining: true})
+			announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 2, Draining: true})
 		} else {
 			r.RecordDeregistration("i")
 		}
 		c.Advance(900 * time.Millisecond)
-		r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 3, Draining: true})
+		announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 3, Draining: true})
 		server, accepting := r.Server()
 		is.True(accepting)
 		is.True(server.Draining)
 		c.Advance(200 * time.Millisecond)
-		r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 4, Draining: true})
+		announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 4, Draining: true})
 		_, accepting = r.Server()
 		is.True(!accepting)
 		r.RecordDeregistration("i")
@@ -152,7 +179,7 @@
 	raw, err := json.Marshal(catkinrun.Member{Host: "h", Peer: "p", Server: &catkinrun.Server{ID: "i", Service: "a", Slots: 4, StartUnixMilli: 7}})
 	is.NoErr(err)
 	r.Restore(catkinrun.Row{Key: locator.Key("h"), Value: raw, Revision: 3})
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "a", Slots: 4, StartUnixMilli: 7, Sequence: 9, Draining: true})
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 4, StartUnixMilli: 7, Sequence: 9, Draining: true})
 	_, accepting := r.Server()
 	is.True(!accepting)
 }
@@ -166,7 +193,7 @@
 	server, accepting := r.Server()
 	is.Equal(server.ID, "i")
 	is.True(!accepting) // an acknowledged drain survives a restart of the daemon
-	r.RecordAnnouncement(catkinrun.Server{ID: "j", Service: "a", Slots: 4, StartUnixMilli: 8, Sequence: 1})
+	announce(t, r, catkinrun.Server{ID: "j", Service: "a", Slots: 4, StartUnixMilli: 8, Sequence: 1})
 	_, accepting = r.Server()
 	is.True(accepting)
 }
@@ -175,7 +202,8 @@
 // checks the row once the store is available again.
 func TestRowMatchesServer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r, s, _ := newRegistrar()
+		c := clock.NewFake()
+		r, s, _ := newRegistrarWithGrace(c, 0)
 		sequence := uint64(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
@@ -196,8 +224,9 @@
 			},
 			"announce": func(t *rapid.T) {
 				sequence++
+				c.Advance(1500 * time.Millisecond)
 				_ = r.Publish(context.Background())
-				r.RecordAnnouncement(catkinrun.Server{
+				announce(t, r, catkinrun.Server{
 					ID: "i", Service: "a", Slots: 1 + int(sequence%3), StartUnixMilli: int64(sequence / 8), Sequence: sequence,
 					Draining: rapid.Bool().Draw(t, "draining"),
 				})
@@ -221,7 +250,7 @@
 	is := is.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := registrar.New(&store{rows: make(map[string]catkinrun.Row)}, locator.New(log), clock.NewFake(), log, catkinrun.Member{Host: "h", Peer: "p"}, 0)
+	r := registrar.New(&store{rows: make(map[string]catkinrun.Row)}, locator.New(log), configurationWith(), clock.NewFake(), log, catkinrun.Member{Host: "h", Peer: "p"}, "a", 0)
 	for i := range 1000 {
 		r.RecordDeregistration(fmt.Sprint("server-", i))
 	}
@@ -234,11 +263,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &store{rows: make(map[string]catkinrun.Row)}
-	r := registrar.New(s, locator.New(log), clock.System{}, log, catkinrun.Member{Host: "h", Peer: "p"}, 0)
+	r := registrar.New(s, locator.New(log), configurationWith(), clock.System{}, log, catkinrun.Member{Host: "h", Peer: "p"}, "a", 0)
 	var announcing sync.WaitGroup
 	announcing.Go(func() {
 		for i := range 200 {
-			r.RecordAnnouncement(catkinrun.Server{ID: "s", Service: "a", Slots: 1 + i%2, Sequence: uint64(i + 1)})
+			announce(t, r, catkinrun.Server{ID: "s", Service: "a", Slots: 1 + i%2, Sequence: uint64(i + 1)})
 		}
 	})
 	for range 200 {
@@ -254,14 +283,14 @@
 	is := is.New(t)
 	c := clock.NewFake()
 	r, s, _ := newRegistrarWithGrace(c, time.Second)
-	server := catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 1}
-	r.RecordAnnouncement(server)
+	server := catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 1}
+	announce(t, r, server)
 	r.MarkLeaving("other/1")
 	_, accepting := r.Server()
 	is.True(accepting)
 	r.MarkLeaving(server.Start())
 	server.Sequence = 2
-	r.RecordAnnouncement(server)
+	announce(t, r, server)
 	is.NoErr(r.Publish(t.Context()))
 	is.True(s.member(t).Server.Draining)
 	r.RecordDeregistration("i")
@@ -280,7 +309,7 @@
 func TestRemovedRowOfALiveHostIsWrittenAgain(t *testing.T) {
 	is := is.New(t)
 	r, s, l := newRegistrar()
-	r.RecordAnnouncement(catkinrun.Server{ID: "i", Service: "s", Slots: 1, StartUnixMilli: 1, Sequence: 1})
+	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 1})
 	is.NoErr(r.Publish(t.Context()))
 	key := locator.Key("h")
 	delete(s.rows, key)
@@ -288,7 +317,7 @@
 	l.Apply(catkinrun.Page{Rows: []catkinrun.Row{{Key: key, Revision: s.revision, Deleted: true}}, Revision: s.revision}, false)
 	is.NoErr(r.Publish(t.Context()))
 	is.Equal(s.member(t).Server.ID, "i")
-	is.Equal(len(l.Serving("s")), 1)
+	is.Equal(len(l.Serving("a")), 1)
 }
 
 // TestServerThatStartedAfterTheClockWasSetBackIsUsed has a server replaced while the time of day is
@@ -298,15 +327,15 @@
 	is := is.New(t)
 	c := clock.NewFake()
 	r, _, _ := newRegistrarWithGrace(c, 0)
-	r.RecordAnnouncement(catkinrun.Server{ID: "old", Service: "s", Slots: 1, StartUnixMilli: 100_000, Sequence: 9})
-	late := catkinrun.Server{ID: "new", Service: "s", Slots: 1, StartUnixMilli: 40_000, Sequence: 1}
-	r.RecordAnnouncement(late)
+	announce(t, r, catkinrun.Server{ID: "old", Service: "a", Slots: 1, StartUnixMilli: 100_000, Sequence: 9})
+	late := catkinrun.Server{ID: "new", Service: "a", Slots: 1, StartUnixMilli: 40_000, Sequence: 1}
+	announce(t, r, late)
 	server, _ := r.Server()
 	is.Equal(server.ID, "old") // it may be late
 	for range 4 {
 		c.Advance(1500 * time.Millisecond)
 		late.Sequence++
-		r.RecordAnnouncement(late)
+		announce(t, r, late)
 	}
 	server, accepting := r.Server()
 	is.Equal(server.ID, "new")
--- a/registrar/restore.go
+++ b/registrar/restore.go
@@ -17,8 +17,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var previous catkinrun.Member
-	if row.Revision == 0 || json.Unmarshal(row.Value, &previous) != nil {
-		return
+	if row.Revision == 0 || json.Unmarshal(row.Value, &previous) != nil || previous.Validate() != nil {
+		return // the next write replaces it
 	}
 	if len(r.self.Crashes) == 0 && len(r.self.Refused) == 0 {
 		r.self = r.self.WithCrashReport(previous.CrashReport)
@@ -26,6 +26,10 @@
 	if r.announced || r.self.Server != nil || previous.Server == nil {
 		return
 	}
+	if err := r.checkLocked(*previous.Server); err != nil {
+		r.reportRefusalLocked(previous.Server.ID, err)
+		return
+	}
 	r.self = r.self.WithServer(previous.Server)
 	r.log.WithFields(logrus.Fields{"server": previous.Server.ID, "service": previous.Server.Service, "draining": previous.Server.Draining}).
 		Info("registrar: server restored from the store")
--- a/registrar/restore_test.go
+++ b/registrar/restore_test.go
@@ -17,6 +17,7 @@
 
 // restoredHost is a daemon that publishes its row in a store that can be restored.
 type restoredHost struct {
+	clock     *clock.Fake
 	store     *platform.Store
 	locator   *locator.Locator
 	follower  *follower.Follower
@@ -24,16 +25,17 @@
 }
 
 func newRestoredHost(server *standin.Store, host string) *restoredHost {
-	h := &restoredHost{store: platform.NewStore("store", server.Client(), time.Second, discardLog()), locator: locator.New(discardLog())}
+	h := &restoredHost{clock: clock.NewFake(), store: platform.NewStore("store", server.Client(), time.Second, discardLog()), locator: locator.New(discardLog())}
 	h.follower = follower.New(h.store, clock.NewFake(), discardLog(), locator.Table, 0, h.locator.Apply)
-	h.registrar = registrar.New(h.store, h.locator, clock.NewFake(), discardLog(), catkinrun.Member{Host: host, Zone: "z", Peer: host, Incarnation: "1"}, 0)
+	h.registrar = registrar.New(h.store, h.locator, configurationWith(), h.clock, discardLog(), catkinrun.Member{Host: host, Zone: "z", Peer: host, Incarnation: "1"}, "s", 0)
 	return h
 }
 
 // announce has a start of the host's server announce itself, and publishes it.
 func (h *restoredHost) announce(t *testing.T, id string, start int64) {
 	t.Helper()
-	h.registrar.RecordAnnouncement(catkinrun.Server{ID: id, Service: "s", Slots: 1, StartUnixMilli: start, Sequence: 1})
+	h.clock.Advance(2 * time.Second) // the former server, if any, is gone
+	announce(t, h.registrar, catkinrun.Server{ID: id, Service: "s", Slots: 1, StartUnixMilli: start, Sequence: 1})
 	h.publish(t)
 }
 
--- a/snapshot.go
+++ b/snapshot.go
@@ -105,6 +105,14 @@
 	return *team, true
 }
 
+// HasService reports whether the configuration names a service, as a resource or as the target of a route.
+func (s *Snapshot) HasService(name string) bool {
+	if _, ok := s.services[name]; ok {
+		return true
+	}
+	return slices.ContainsFunc(s.resources, func(r Resource) bool { return r.Route != nil && r.Route.HasTarget(name) })
+}
+
 // TeamOfKey returns the name of the team that holds a key.
 func (s *Snapshot) TeamOfKey(key string) (string, bool) {
 	team, ok := s.keys[key]
