Follower: a lost response to the configuration's watch shows within the time after which the bounds hold again

Cause: a watch that follows another one waits for 25 s and 1.5 s of timeout. If its response is lost on a connection that stays open, nothing tells: silence is taken for calm.

Ruled out: that the daemon knew of the failure and was slow to return (no line during the silence). A second call beside the long watch costs as much as a short one; versions from other daemons do not reach a daemon that passes on nothing, and a silence of the whole store hits all.

Change: the configuration is watched for 1 s at a time. 1 s + 1.5 s timeout + 0.1 s backoff + one call: 2.6 s, below contact, 3 s.

The bound on the calls of a quiet table stays for the other tables.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,8 +139,8 @@
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
 	d.relayer = relayer.New(d.store, d.locator, d.askWatcher, d.log, self)
-	d.configuration = follower.New(d.relayer, d.clock, d.log, platform.ConfigurationTable, 0, d.applyConfiguration)
-	d.members = follower.New(d.relayer, d.clock, d.log, locator.Table, membersInterval, d.applyMembers)
+	d.configuration = follower.New(d.relayer, d.clock, d.log, platform.ConfigurationTable, follower.PromptWait, 0, d.applyConfiguration)
+	d.members = follower.New(d.relayer, d.clock, d.log, locator.Table, follower.LongWait, membersInterval, d.applyMembers)
 	d.screener = screener.New(d.clock, d.log, s.Host, d.registrar.ReportCrashes)
 	failing := func() bool { return d.configuration.Failing() || d.members.Failing() }
 	d.syncer = syncer.New(d.configurer, d.locator, d.broker, d.screener, d.peerClient, d.clock, d.log, s.Listen.Peer, failing)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,11 +17,15 @@
 )
 
 const (
-	// shortWait is how long the store holds the first watch after a change, and longWait one that follows
-	// another watch at once. A watch that reaches a silent store is lost, which shows only after its wait.
-	// In the pause after a change the store can fall silent unnoticed, so that the next wait is short.
+	// PromptWait is how long the store holds a watch of a table whose changes must be known three seconds after a
+	// disruption of the store at the latest. The response to a watch may be lost on a connection that stays open,
+	// which shows only when the wait and the store's timeout of 1.5 s are over.
+	PromptWait = time.Second
+	// LongWait is how long the store holds a watch of a table for which a lost response shows otherwise.
+	LongWait = 25 * time.Second
+	// shortWait is how long the store holds the first watch after a change. In the pause after a change
+	// the store can fall silent unnoticed.
 	shortWait = 500 * time.Millisecond
-	longWait  = 25 * time.Second
 	// minBackoff is the delay after the first failed call, before jitter. It doubles up to
 	// maxBackoff, so that every daemon reads the store within two seconds of the end of an
 	// outage.
@@ -41,6 +45,7 @@
 	clock catkinrun.Clock
 	log   logrus.FieldLogger
 	table string
+	calm  time.Duration // how long the store holds a watch that follows another one at once
 	pause time.Duration
 	apply Apply
 
@@ -56,10 +61,10 @@
 	respondedAt atomic.Int64 // clock reading at the last response or the start, in nanoseconds
 }
 
-// New returns a follower that passes the changes of the table to apply, in order. The pause
-// after each change lets the next call return several changes at once.
-func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, pause time.Duration, apply Apply) *Follower {
-	f := &Follower{store: store, clock: clock, log: log, table: table, pause: pause, apply: apply, wait: shortWait, backoff: minBackoff}
+// New returns a follower that passes the changes of the table to apply, in order. In calm times the store holds each
+// watch for wait. The pause after each change lets the next call return several changes at once.
+func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, wait, pause time.Duration, apply Apply) *Follower {
+	f := &Follower{store: store, clock: clock, log: log, table: table, calm: wait, pause: pause, apply: apply, wait: shortWait, backoff: minBackoff}
 	f.respondedAt.Store(clock.Now().UnixNano())
 	return f
 }
@@ -126,7 +131,7 @@
 	f.fresh = false
 	f.recordRevision(page, page.Complete)
 	if len(page.Rows) == 0 && !page.Complete {
-		f.wait = longWait
+		f.wait = f.calm
 		return nil
 	}
 	f.wait = shortWait
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -40,10 +40,10 @@
 }
 
 // newFollower returns a follower of a table that writes no log.
-func newFollower(s catkinrun.Store, c catkinrun.Clock, pause time.Duration, apply follower.Apply) *follower.Follower {
+func newFollower(s catkinrun.Store, c catkinrun.Clock, wait, pause time.Duration, apply follower.Apply) *follower.Follower {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return follower.New(s, c, log, "t", pause, apply)
+	return follower.New(s, c, log, "t", wait, pause, apply)
 }
 
 func page(revision catkinrun.Revision, keys ...string) catkinrun.Page {
@@ -60,7 +60,7 @@
 		{page: page(1, "a")}, {page: page(3, "b")}, {err: &catkinrun.HistoryError{}}, {page: page(7, "a", "c")}, {page: page(8)},
 	}}
 	var applied []string
-	f := newFollower(s, clock.NewFake(), 0, func(p catkinrun.Page, whole bool) {
+	f := newFollower(s, clock.NewFake(), follower.LongWait, 0, func(p catkinrun.Page, whole bool) {
 		for _, row := range p.Rows {
 			applied = append(applied, row.Key)
 		}
@@ -78,7 +78,7 @@
 func TestFailedWatchKeepsTheRevision(t *testing.T) {
 	is := is.New(t)
 	s := &store{responses: []response{{page: page(1)}, {err: &catkinrun.StoreError{}}, {page: page(2)}}}
-	f := newFollower(s, clock.NewFake(), 0, func(catkinrun.Page, bool) {})
+	f := newFollower(s, clock.NewFake(), follower.LongWait, 0, func(catkinrun.Page, bool) {})
 	is.NoErr(f.Step(context.Background()))
 	is.True(f.Step(context.Background()) != nil)
 	is.NoErr(f.Step(context.Background()))
@@ -89,7 +89,7 @@
 func TestAgeBeforeFirstResponse(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewFake()
-	f := newFollower(&store{}, c, 0, func(catkinrun.Page, bool) {})
+	f := newFollower(&store{}, c, follower.LongWait, 0, func(catkinrun.Page, bool) {})
 	c.Advance(3 * time.Second)
 	is.Equal(f.Age(), 3*time.Second) // since the start
 }
@@ -103,7 +103,7 @@
 		{page: page(1)}, {err: &catkinrun.HistoryError{}}, {page: page(restored, "a")}, {page: page(restored)}, {err: &catkinrun.HistoryError{}}, {page: page(restored, "a")}, {page: page(restored)},
 	}}
 	c := clock.NewFake()
-	f := newFollower(s, c, 0, func(catkinrun.Page, bool) {})
+	f := newFollower(s, c, follower.LongWait, 0, func(catkinrun.Page, bool) {})
 	is.NoErr(f.Step(context.Background()))
 	_ = f.Step(context.Background()) // the history is lost
 	is.NoErr(f.Step(context.Background()))
@@ -124,7 +124,7 @@
 	is := is.New(t)
 	s := &store{responses: []response{{page: page(catkinrun.NewRevision(2, 1), "new")}, {page: page(catkinrun.NewRevision(1, 9), "old")}}}
 	var applied []string
-	f := newFollower(s, clock.NewFake(), 0, func(p catkinrun.Page, _ bool) {
+	f := newFollower(s, clock.NewFake(), follower.LongWait, 0, func(p catkinrun.Page, _ bool) {
 		for _, row := range p.Rows {
 			applied = append(applied, row.Key)
 		}
@@ -148,7 +148,7 @@
 		s := &store{responses: responses}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		f := newFollower(s, clock.NewFake(), 0, func(catkinrun.Page, bool) {})
+		f := newFollower(s, clock.NewFake(), follower.LongWait, 0, func(catkinrun.Page, bool) {})
 		for range responses {
 			is.NoErr(f.Step(context.Background()))
 		}
--- a/follower/silence_test.go
+++ b/follower/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/follower"
 )
 
 const (
@@ -18,18 +20,20 @@
 	pollTime    = 5 * time.Millisecond
 )
 
-// silentStore is a store that is silent for a time: requests that reach it then are lost, and responses
-// that are due then. Watches from before wait on.
+// silence is a time in which a store loses the requests that reach it and the responses that are due.
+type silence struct{ begin, end time.Time }
+
+// silentStore is a store that is silent at times. Watches from before wait on.
 type silentStore struct {
 	catkinrun.Store
-	begin, end time.Time // of the silence
-	writes     []time.Time
-	watches    int
+	silences []silence
+	writes   []time.Time
+	watches  int
 }
 
 func (s *silentStore) silent() bool {
 	now := time.Now()
-	return !now.Before(s.begin) && now.Before(s.end)
+	return slices.ContainsFunc(s.silences, func(x silence) bool { return !now.Before(x.begin) && now.Before(x.end) })
 }
 
 // revision returns the number of the last write, counted from 1.
@@ -73,9 +77,9 @@
 }
 
 // appliedAt follows a table for some time and returns when each of its revisions was applied first.
-func appliedAt(t *testing.T, s *silentStore, duration time.Duration) map[catkinrun.Revision]time.Time {
+func appliedAt(t *testing.T, s *silentStore, wait, duration time.Duration) map[catkinrun.Revision]time.Time {
 	applied := make(map[catkinrun.Revision]time.Time)
-	f := newFollower(s, clock.System{}, 200*time.Millisecond, func(p catkinrun.Page, _ bool) {
+	f := newFollower(s, clock.System{}, wait, 200*time.Millisecond, func(p catkinrun.Page, _ bool) {
 		if _, ok := applied[p.Revision]; !ok {
 			applied[p.Revision] = time.Now()
 		}
@@ -94,13 +98,14 @@
 			for _, before := range []time.Duration{0, 100 * time.Millisecond} {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
-					s := &silentStore{begin: time.Now().Add(begin), end: time.Now().Add(begin + duration)}
-					written := s.end.Add(900 * time.Millisecond)
+					silent := silence{begin: time.Now().Add(begin), end: time.Now().Add(begin + duration)}
+					s := &silentStore{silences: []silence{silent}}
+					written := silent.end.Add(900 * time.Millisecond)
 					if before > 0 {
-						s.writes = append(s.writes, s.begin.Add(-before))
+						s.writes = append(s.writes, silent.begin.Add(-before))
 					}
 					s.writes = append(s.writes, written)
-					applied := appliedAt(t, s, begin+duration+40*time.Second)
+					applied := appliedAt(t, s, follower.LongWait, begin+duration+40*time.Second)
 					at, ok := applied[catkinrun.Revision(1+len(s.writes))]
 					is.True(ok)
 					is.True(at.Sub(written) <= 2*time.Second) // a configuration is in force in two seconds
@@ -110,12 +115,40 @@
 	}
 }
 
+// TestChangeWithALostResponseIsAppliedWithinContact writes a change around a silence of the store, so that the response
+// to a watch is lost on a connection that stays open, and has a second, short silence follow. A withdrawn key once
+// stayed in use for 20 s after a silence.
+func TestChangeWithALostResponseIsAppliedWithinContact(t *testing.T) {
+	const contact = 3 * time.Second                                                                // from the end of a disruption until the bounds hold again
+	for begin := 2 * time.Second; begin < 3200*time.Millisecond; begin += 110 * time.Millisecond { // more than one watch
+		for _, duration := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond, 2400 * time.Millisecond, 4500 * time.Millisecond, 9 * time.Second} {
+			for _, written := range []time.Duration{0, 3 * time.Millisecond, duration / 2, duration} {
+				for _, again := range []time.Duration{0, 100 * time.Millisecond, time.Second, 2550 * time.Millisecond} {
+					synctest.Test(t, func(t *testing.T) {
+						first := silence{begin: time.Now().Add(begin), end: time.Now().Add(begin + duration)}
+						s := &silentStore{silences: []silence{first}, writes: []time.Time{first.begin.Add(written)}}
+						calm := first.end
+						if again > 0 {
+							calm = first.end.Add(again + 5*time.Millisecond)
+							s.silences = append(s.silences, silence{begin: first.end.Add(again), end: calm})
+						}
+						at, ok := appliedAt(t, s, follower.PromptWait, time.Until(calm)+contact+time.Second)[2]
+						if !ok || at.Sub(calm) > contact {
+							t.Fatalf("silence of %v at %v, again %v after it, change at %v: applied %v after the end", duration, begin, again, written, at.Sub(calm))
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
 // TestQuietTableIsWatchedWithFewCalls counts the calls of ten minutes without a change.
 func TestQuietTableIsWatchedWithFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &silentStore{}
-		appliedAt(t, s, 10*time.Minute)
+		appliedAt(t, s, follower.LongWait, 10*time.Minute)
 		is.True(s.watches <= 30)
 	})
 }
--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -50,7 +50,7 @@
 	}
 	for host, r := range f.relayers {
 		seen := f.seen[host]
-		follow := follower.New(r, clock.System{}, log, tableName, 0, func(page catkinrun.Page, _ bool) {
+		follow := follower.New(r, clock.System{}, log, tableName, follower.LongWait, 0, func(page catkinrun.Page, _ bool) {
 			for _, row := range page.Rows {
 				seen.Store(string(row.Value))
 			}
