Relayer: a long watch is given up once another response shows a newer revision of the store

The members table has the crash reports, the owners of the rates and the servers; a lost response to its watch kept them out of date for up to 26.5 s, more than the three seconds after which BUDGET's bound on deadly requests holds.

Evidence: TestLostChangeShowsInTheResponseToAnotherWatch failed before (deadlock: the watch never ended).

Ruled out: watching the members for 1 s too, which doubles the calls again.

A watch of 2 s or more is cancelled once the response to another table's watch is newer than its position, and the store is asked at once: one call for each change of the configuration.

--- /dev/null
+++ b/relayer/overtaken_test.go
@@ -0,0 +1,77 @@
+package relayer_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/follower"
+	"github.com/catkinrun/catkinrun/relayer"
+)
+
+// lossyStore has two tables. The response to each watch of "held" that waits is lost on a connection that stays open.
+type lossyStore struct {
+	catkinrun.Store
+	revision catkinrun.Revision // of the last change, of "held"
+	calls    map[string]int
+}
+
+func (s *lossyStore) Watch(ctx context.Context, table string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
+	s.calls[table]++
+	if table == "held" && wait > 0 {
+		<-ctx.Done()
+		return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch", Cause: ctx.Err()}
+	}
+	time.Sleep(wait)
+	page := catkinrun.Page{Revision: s.revision}
+	if table == "held" && s.revision > after {
+		page.Rows = []catkinrun.Row{{Key: "k", Revision: s.revision}}
+	}
+	return page, nil
+}
+
+// nobody lists no hosts.
+type nobody struct{}
+
+func (nobody) Members() []catkinrun.Member { return nil }
+
+// TestLostChangeShowsInTheResponseToAnotherWatch loses the response to a long watch. It was waited for until the end of
+// the watch, although the responses to the other table's watches showed that the store had changed.
+func TestLostChangeShowsInTheResponseToAnotherWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := &lossyStore{revision: 3, calls: make(map[string]int)}
+		r := relayer.New(s, nobody{}, nil, log, catkinrun.Member{Host: "h", Zone: "z"})
+		type result struct {
+			page catkinrun.Page
+			err  error
+		}
+		changed := make(chan result, 1)
+		go func() {
+			page, err := r.Watch(t.Context(), "held", 3, follower.LongWait)
+			changed <- result{page, err}
+		}()
+		for range 3 {
+			_, err := r.Watch(t.Context(), "other", 3, follower.PromptWait)
+			is.NoErr(err)
+		}
+		synctest.Wait()
+		is.Equal(s.calls["held"], 1) // nothing has changed
+		s.revision++
+		writtenAt := time.Now()
+		_, err := r.Watch(t.Context(), "other", 3, follower.PromptWait)
+		is.NoErr(err)
+		x := <-changed
+		is.NoErr(x.err)
+		is.Equal(len(x.page.Rows), 1)
+		is.True(time.Since(writtenAt) <= follower.PromptWait)
+	})
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -33,6 +33,10 @@
 	turnTime = 800 * time.Millisecond
 	// turnTimeout is the time after which a watcher counts as failed.
 	turnTimeout = turnTime + 300*time.Millisecond
+	// longWatch is the wait from which a watch of the store is repeated once the response to another call shows a
+	// newer revision of the store than the watch is known to have passed: its own response may be lost, on a
+	// connection that stays open. Shorter ones end soon by themselves.
+	longWatch = 2 * time.Second
 )
 
 // Request asks a watcher for the changes of a table after a revision, or any daemon to read all of a
@@ -71,7 +75,14 @@
 
 	mu      sync.Mutex
 	tables  map[string]*table
-	helpers int // number of requests to read a table for this daemon
+	watches map[string]*heldWatch // by table, the long ones that the store holds now
+	helpers int                   // number of requests to read a table for this daemon
+}
+
+// heldWatch is a watch that the store holds until a change.
+type heldWatch struct {
+	after  catkinrun.Revision
+	cancel context.CancelFunc
 }
 
 // table is a copy of a table of the store.
@@ -86,7 +97,7 @@
 
 // New returns a relayer for the daemon that self describes.
 func New(store catkinrun.Store, members Members, ask Ask, log logrus.FieldLogger, self catkinrun.Member) *Relayer {
-	return &Relayer{Store: store, members: members, ask: ask, log: log, self: self, tables: make(map[string]*table)}
+	return &Relayer{Store: store, members: members, ask: ask, log: log, self: self, tables: make(map[string]*table), watches: make(map[string]*heldWatch)}
 }
 
 // List implements catkinrun.Store. If the store does not respond to this daemon, another one reads
@@ -153,11 +164,47 @@
 		r.log.WithError(err).WithFields(logrus.Fields{"watcher": watcher.Host, "table": name}).Debug("relayer: watcher failed, watching the store")
 		wait = min(wait, turnTime) // the store may be what has failed
 	}
-	page, err := r.Store.Watch(ctx, name, after, wait)
+	page, err := r.watchStore(ctx, name, after, wait)
 	r.record(name, page, err, true)
 	return page, err
 }
 
+// watchStore watches the store itself. A long watch that another response overtakes is given up, and the store is
+// asked for the changes without a wait.
+func (r *Relayer) watchStore(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
+	if wait < longWatch {
+		return r.Store.Watch(ctx, name, after, wait)
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.setWatch(name, &heldWatch{after: after, cancel: cancel})
+	page, err := r.Store.Watch(watchCtx, name, after, wait)
+	r.setWatch(name, nil)
+	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		return r.Store.Watch(ctx, name, after, 0)
+	}
+	return page, err
+}
+
+func (r *Relayer) setWatch(name string, w *heldWatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w == nil {
+		delete(r.watches, name)
+		return
+	}
+	r.watches[name] = w
+}
+
+// overtakeLocked gives up the long watches of other tables that a response of the store has overtaken.
+func (r *Relayer) overtakeLocked(name string, revision catkinrun.Revision) {
+	for other, w := range r.watches {
+		if other != name && revision > w.after {
+			w.cancel()
+		}
+	}
+}
+
 // nextWatcher returns the watcher whose turn it is; ok is false if this daemon has to watch
 // the store itself.
 func (r *Relayer) nextWatcher(name string) (watcher catkinrun.Member, ok bool) {
@@ -218,6 +265,9 @@
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
 	t.watched = direct && err == nil
+	if t.watched {
+		r.overtakeLocked(name, page.Revision)
+	}
 	switch {
 	case err == nil && page.Complete:
 		t.replace(page)
