Prober: a restarted daemon asks its server whether it is leaving before it gets requests

Cause: the acknowledged state was kept in one process; the row that the new start restores is older. A promise of the host was forgotten.

The log of that host: "server deregistered", "cannot publish the member row" twice, "daemon: stopped", then "server restored from the store" with draining=false and no announcement before the orders.

Ruled out: a later statement that overrides a known drain (there is none).

Change: a daemon that finds the row of an earlier start asks the server's health check. The server gets requests once it has answered 200 without saying that it leaves, or has announced itself. A row that says "draining" wins over an announcement that came before it.

In filterer's tests of a restarted daemon the server is confirmed, as its answer would do.

--- a/daemon/announcement_test.go
+++ b/daemon/announcement_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,9 +24,10 @@
 	"github.com/catkinrun/catkinrun/loader"
 	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/platform"
+	"github.com/catkinrun/catkinrun/prober"
 )
 
-// announcementScript is a case of testdata/announcements.txt.
+// announcementScript is a case of a file in testdata.
 type announcementScript struct {
 	name  string
 	lines []scriptLine
@@ -37,9 +39,9 @@
 	words   []string
 }
 
-func readAnnouncementScripts(t *testing.T) []announcementScript {
+func readAnnouncementScripts(t *testing.T, name string) []announcementScript {
 	t.Helper()
-	file, err := os.Open("testdata/announcements.txt")
+	file, err := os.Open("testdata/" + name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +70,18 @@
 // TestForeignAnnouncementsReplaceNoServer plays announcements of the server beside a daemon and of other writers, which
 // once replaced that server for good.
 func TestForeignAnnouncementsReplaceNoServer(t *testing.T) {
-	for _, script := range readAnnouncementScripts(t) {
+	playAnnouncementScripts(t, "announcements.txt")
+}
+
+// TestRestartedDaemonAsksItsServerWhetherItLeaves restarts daemons that have acknowledged that their servers are leaving, which
+// the store does not know. Their servers once got requests again, which were lost when they exited.
+func TestRestartedDaemonAsksItsServerWhetherItLeaves(t *testing.T) {
+	playAnnouncementScripts(t, "restarts.txt")
+}
+
+func playAnnouncementScripts(t *testing.T, name string) {
+	t.Helper()
+	for _, script := range readAnnouncementScripts(t, name) {
 		t.Run(script.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { // nothing publishes the row, so that each change waits for it
 				h := newAnnouncementHost()
@@ -86,6 +99,36 @@
 	clock   *clock.Fake
 	handler http.Handler
 	version catkinrun.Version
+	server  *checkedServer
+	checks  *prober.Prober
+}
+
+// checkedServer answers health checks as words of a script say. It implements http.RoundTripper.
+type checkedServer struct {
+	answer []string
+	checks int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *checkedServer) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.checks++
+	switch s.answer[0] {
+	case "refused":
+		return nil, &os.SyscallError{Syscall: "connect", Err: syscall.ECONNREFUSED}
+	case "silent":
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	recorder := httptest.NewRecorder()
+	if s.answer[0] != "-" {
+		recorder.Header().Set("X-Instance-Id", s.answer[0])
+	}
+	if len(s.answer) > 2 {
+		recorder.Header().Set("Server-Leaving", "1")
+	}
+	status, err := strconv.Atoi(s.answer[1])
+	recorder.WriteHeader(status)
+	return recorder.Result(), err
 }
 
 func newAnnouncementHost() *announcementHost {
@@ -96,7 +139,9 @@
 		clock:    now, leaseClock: now, journal: journal, log: journal.Logger(), metrics: metrics.NewSet(),
 	}
 	d.build()
-	return &announcementHost{daemon: d, clock: now, handler: platform.AnnouncementHandler(d.registrar)}
+	server := &checkedServer{answer: []string{"silent"}}
+	checks := prober.New(d.registrar, d.configurer, &http.Client{Transport: server}, platform.HeaderCodec{}, "10.0.0.1:80", now, d.log)
+	return &announcementHost{daemon: d, clock: now, handler: platform.AnnouncementHandler(d.registrar), server: server, checks: checks}
 }
 
 func (h *announcementHost) play(t *testing.T, line scriptLine) {
@@ -137,8 +182,16 @@
 		if err := h.restore(words); err != nil {
 			fail("%v", err)
 		}
+	case "health":
+		h.server.answer = words
+	case "check":
+		h.check(t)
+	case "checks":
+		if got := strconv.Itoa(h.server.checks); got != words[0] {
+			fail("%s health checks, expected %s", got, words[0])
+		}
 	case "expect":
-		if got, expected := h.server(), strings.Join(words, " "); got != expected {
+		if got, expected := h.state(), strings.Join(words, " "); got != expected {
 			fail("server is %s, expected %s", got, expected)
 		}
 	default:
@@ -157,15 +210,19 @@
 }
 
 func (h *announcementHost) restore(words []string) error {
-	slots, err := strconv.Atoi(words[2])
-	if err != nil {
-		return err
-	}
-	start, err := strconv.ParseInt(words[3], 10, 64)
-	if err != nil {
-		return err
+	member := catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "former"}
+	if words[0] != "none" {
+		slots, err := strconv.Atoi(words[2])
+		if err != nil {
+			return err
+		}
+		start, err := strconv.ParseInt(words[3], 10, 64)
+		if err != nil {
+			return err
+		}
+		member.Server = &catkinrun.Server{ID: words[0], Service: words[1], Slots: slots, StartUnixMilli: start, Draining: len(words) > 4}
 	}
-	row, err := json.Marshal(catkinrun.Member{Host: "h", Zone: "z", Peer: "127.0.0.1:1", Incarnation: "former", Server: &catkinrun.Server{ID: words[0], Service: words[1], Slots: slots, StartUnixMilli: start}})
+	row, err := json.Marshal(member)
 	h.daemon.applyMembers(catkinrun.Page{Rows: []catkinrun.Row{{Key: locator.Key("h"), Value: row, Revision: 3}}, Revision: 3}, true)
 	return err
 }
@@ -176,7 +233,16 @@
 	return strconv.Itoa(recorder.Code)
 }
 
-func (h *announcementHost) server() string {
+// check makes the health checks that are due.
+func (h *announcementHost) check(t *testing.T) {
+	select {
+	case server := <-h.daemon.registrar.Unchecked():
+		h.checks.Check(t.Context(), server)
+	default:
+	}
+}
+
+func (h *announcementHost) state() string {
 	server, accepting := h.daemon.registrar.Server()
 	switch {
 	case server.ID == "":
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/catkinrun/catkinrun/messenger"
 	"github.com/catkinrun/catkinrun/observer"
 	"github.com/catkinrun/catkinrun/platform"
+	"github.com/catkinrun/catkinrun/prober"
 	"github.com/catkinrun/catkinrun/registrar"
 	"github.com/catkinrun/catkinrun/relayer"
 	"github.com/catkinrun/catkinrun/retrier"
@@ -94,6 +95,7 @@
 	configurer    *configurer.Configurer
 	locator       *locator.Locator
 	registrar     *registrar.Registrar
+	prober        *prober.Prober
 	broker        *broker.Broker
 	limiter       *limiter.Limiter
 	relayer       *relayer.Relayer
@@ -135,6 +137,7 @@
 	d.locator = locator.New(d.log)
 	drainGrace := time.Duration(drainServeFraction * float64(s.Times.Drain))
 	d.registrar = registrar.New(d.store, d.locator, d.configurer, d.clock, d.log, self, s.Service, drainGrace)
+	d.prober = prober.New(d.registrar, d.configurer, &http.Client{Transport: dialer.Transport(dialTimeout, serverIdleTimeout, 1)}, platform.HeaderCodec{}, s.Server, d.clock, d.log)
 	d.broker = broker.New(d.store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
@@ -154,7 +157,7 @@
 		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
 	}
 	d.gateway = filterer.NewGateway(deps, rand.Float64, d.recordRequest)
-	d.services = []suture.Service{d.journal, d.configuration, d.members, d.registrar, d.broker, d.limiter, d.syncer, d.admitter}
+	d.services = []suture.Service{d.journal, d.configuration, d.members, d.registrar, d.prober, d.broker, d.limiter, d.syncer, d.admitter}
 	d.registerMetrics()
 }
 
--- a/filter.go
+++ b/filter.go
@@ -66,6 +66,7 @@
 	ID          string        // of the request that the response is for
 	NotRun      bool          // the server did not run the request
 	Misdirected bool          // another server has the address now
+	Instance    string        // ID of the server, in the response to a health check
 	Signed      bool          // the response carries the server's signature, which marks it as the server's own
 	IdleTimeout time.Duration // after which the server closes an unused connection, 0 if not stated
 	Condition   Condition
--- a/filterer/condition_test.go
+++ b/filterer/condition_test.go
@@ -81,13 +81,14 @@
 	p.t.Helper()
 	is := is.New(p.t)
 	server := catkinrun.Server{ID: instance, Service: service, Slots: 500, StartUnixMilli: 1}
-	row, err := json.Marshal(catkinrun.Member{Host: "h", Zone: "z", Peer: p.peer, Incarnation: "n", Server: &server})
+	row, err := json.Marshal(catkinrun.Member{Host: "h", Zone: "z", Peer: p.peer, Incarnation: "former", Server: &server})
 	is.NoErr(err)
 	hosts := locator.New(logrus.New())
 	hosts.Apply(catkinrun.Page{Rows: []catkinrun.Row{{Key: locator.Key("h"), Value: row, Revision: 1}}, Revision: 1}, true)
 	deps := newDependencies(p.t, host, p.server, hosts, testDrainGrace)
 	if host == "h" {
 		deps.Registrar.Restore(hosts.Row("h"))
+		deps.Registrar.Confirm(server.Start()) // as if it had answered a health check without saying that it leaves
 	}
 	_, err = deps.Configurer.Apply(catkinrun.SnapshotData{Version: 1, Resources: []catkinrun.Resource{{Kind: catkinrun.KindRoute, Name: "read", Route: &catkinrun.Route{
 		Domain: "shop.example", Prefix: "/read/", Targets: []catkinrun.Target{{Service: service, Weight: 1}},
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -64,12 +64,16 @@
 	host          string
 	service       string // of the server beside this daemon by the settings
 	drainGrace    time.Duration
-	changed       chan struct{} // requests a write of the row
+	changed       chan struct{}         // requests a write of the row
+	unchecked     chan catkinrun.Server // to be asked whether it is leaving
 
 	mu          sync.Mutex
 	self        catkinrun.Member
-	announced   bool // the server has announced itself to this incarnation of the daemon
-	down        bool // a connection was refused, or reached another server, since the last announcement
+	announced   bool   // the server has announced itself to this incarnation of the daemon
+	down        bool   // a connection was refused, or reached another server, since the last announcement
+	restarted   bool   // an earlier incarnation of this daemon has published a row
+	unconfirmed bool   // the server is known from that row alone
+	checkedAs   string // start of the server for which a check has been requested
 	coldUntil   time.Time
 	acceptUntil time.Time // until when a draining server still accepts requests
 	unannounced bool      // the server drains by its own responses, and has announced nothing about it
@@ -87,7 +91,7 @@
 func New(store catkinrun.Store, locator Locator, configuration Configuration, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, service string, drainGrace time.Duration) *Registrar {
 	return &Registrar{
 		store: store, locator: locator, configuration: configuration, clock: clock, log: log, host: self.Host, self: self, service: service, drainGrace: drainGrace,
-		changed: make(chan struct{}, 1), announcedAt: clock.Now(),
+		changed: make(chan struct{}, 1), unchecked: make(chan catkinrun.Server, 1), announcedAt: clock.Now(),
 	}
 }
 
@@ -101,7 +105,7 @@
 	}
 	server = *r.self.Server
 	server.ColdLeft = max(0, r.coldUntil.Sub(r.clock.Now()))
-	return server, !r.down && (!server.Draining || r.clock.Now().Before(r.acceptUntil))
+	return server, !r.down && !r.unconfirmed && (!server.Draining || r.clock.Now().Before(r.acceptUntil))
 }
 
 // Announce implements platform.Registrar. It records the announcement and, if that changes
@@ -167,11 +171,15 @@
 		s.Draining = true // a draining server becomes ready again only after a restart
 	}
 	r.startDrainLocked(s, previous)
-	r.announced, r.down = true, false
+	first := !r.announced
+	r.announced, r.down, r.unconfirmed = true, false, false
 	if !sameStart || announcesDrain {
 		r.unannounced = false
 	}
 	r.self = r.self.WithServer(&s)
+	if first && r.restarted {
+		r.requestCheckLocked() // the announcement may be late
+	}
 	if sameStart && previous.Service == s.Service && previous.Slots == s.Slots && previous.Draining == s.Draining {
 		return nil
 	}
--- a/snapshot.go
+++ b/snapshot.go
@@ -105,6 +105,15 @@
 	return *team, true
 }
 
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	service, ok := s.services[name]
+	if !ok {
+		return Service{}, false
+	}
+	return *service, true
+}
+
 // HasService reports whether the configuration names a service, as a resource or as the target of a route.
 func (s *Snapshot) HasService(name string) bool {
 	if _, ok := s.services[name]; ok {
