Registrar: a deregistration ends the start that it names

The review had found by reading that a late deregistration of an earlier start under the same ID drains the new server, whose announcements are then ignored. On the way: one that came before a restarted daemon knew its server was acknowledged and forgotten, since the start was not recorded, and the restored row or a late announcement brought the server back (DRAIN).

Cause: the start in the body was not read.

Evidence: two scripts of announcements.txt and three of restarts.txt failed before.

Ruled out: taking an announcement with a small sequence number for a new start; numbers may be lost.

Change: the start in the body decides; without one, the recorded start, or any start in the row of the daemon's former incarnation, which is older than the deregistration. An announcement after a deregistration of an unknown start has the server asked.

--- a/daemon/announcement_test.go
+++ b/daemon/announcement_test.go
@@ -169,7 +169,11 @@
 			fail("status %s, expected %s", status, words[1])
 		}
 	case "deregister":
-		h.post(words[0]+"/deregister", "")
+		body := ""
+		if len(words) > 1 {
+			body = fmt.Sprintf(`{"born":%s}`, words[1])
+		}
+		h.post(words[0]+"/deregister", body)
 	case "wait":
 		d, err := time.ParseDuration(words[0])
 		if err != nil {
--- a/registrar/order.go
+++ b/registrar/order.go
@@ -128,18 +128,28 @@
 	}
 }
 
+// endedUnknownLocked reports whether a server has deregistered without its start, which was not known.
+func (r *Registrar) endedUnknownLocked(id string) bool {
+	return slices.Contains(r.ended, endedServer{id: id})
+}
+
 // endOthersLocked records the deregistration of a server that is not the recorded one.
-func (r *Registrar) endOthersLocked(id string) {
-	ended := catkinrun.Server{ID: id}
-	if r.candidate != nil && r.candidate.ID == id {
-		ended, r.candidate = *r.candidate, nil
-	}
-	for _, s := range r.replaced {
-		if s.ID == id && s.StartUnixMilli > ended.StartUnixMilli {
-			ended = s
+func (r *Registrar) endOthersLocked(id string, startUnixMilli int64) {
+	ended := catkinrun.Server{ID: id, StartUnixMilli: startUnixMilli}
+	if startUnixMilli == 0 {
+		for _, s := range r.replaced {
+			if s.ID == id {
+				ended.StartUnixMilli = max(ended.StartUnixMilli, s.StartUnixMilli)
+			}
+		}
+		if r.candidate != nil && r.candidate.ID == id {
+			ended.StartUnixMilli = max(ended.StartUnixMilli, r.candidate.StartUnixMilli)
 		}
 	}
 	r.endLocked(ended)
+	if r.candidate != nil && r.endedLocked(*r.candidate) {
+		r.candidate = nil
+	}
 }
 
 // replaceLocked records that a server is no longer the recorded one, without its deregistration.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -177,7 +177,7 @@
 		r.unannounced = false
 	}
 	r.self = r.self.WithServer(&s)
-	if first && r.restarted {
+	if first && r.restarted || r.endedUnknownLocked(s.ID) {
 		r.requestCheckLocked() // the announcement may be late
 	}
 	if sameStart && previous.Service == s.Service && previous.Slots == s.Slots && previous.Draining == s.Draining {
@@ -223,24 +223,25 @@
 
 // Deregister implements platform.Registrar. It records that the server is about to end and,
 // if that changes the row, waits until the row is published, for at most publishTimeout.
-func (r *Registrar) Deregister(id string) {
-	if published := r.RecordDeregistration(id); published != nil {
+func (r *Registrar) Deregister(id string, startUnixMilli int64) {
+	if published := r.RecordDeregistration(id, startUnixMilli); published != nil {
 		await(published)
 	}
 }
 
-// RecordDeregistration records that a server is about to end. A server that was not draining
-// starts draining; one that was draining is removed from the row. The returned channel is as
+// RecordDeregistration records that a start of a server is about to end, or whichever is recorded if the start is 0. A
+// server that was not draining starts draining; one that was draining is removed from the row. A late
+// deregistration of an earlier start does not concern the recorded one. The returned channel is as
 // for RecordAnnouncement.
-func (r *Registrar) RecordDeregistration(id string) chan struct{} {
+func (r *Registrar) RecordDeregistration(id string, startUnixMilli int64) chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.self.Server
-	if current == nil || current.ID != id {
-		r.endOthersLocked(id)
+	if current == nil || current.ID != id || startUnixMilli != 0 && startUnixMilli < current.StartUnixMilli {
+		r.endOthersLocked(id, startUnixMilli)
 		return nil
 	}
-	r.endLocked(*current)
+	r.endLocked(catkinrun.Server{ID: id, StartUnixMilli: max(startUnixMilli, current.StartUnixMilli)})
 	if current.Draining && !r.unannounced {
 		r.self = r.self.WithServer(nil)
 	} else {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -121,7 +121,7 @@
 	is := is.New(t)
 	r, _, _ := newRegistrar()
 	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 40})
-	r.RecordDeregistration("i")
+	r.RecordDeregistration("i", 0)
 	_, accepting := r.Server()
 	is.True(!accepting)
 	announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 100, Sequence: 41})
@@ -154,7 +154,7 @@
 		if drains {
 			announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 2, Draining: true})
 		} else {
-			r.RecordDeregistration("i")
+			r.RecordDeregistration("i", 0)
 		}
 		c.Advance(900 * time.Millisecond)
 		announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 3, Draining: true})
@@ -165,7 +165,7 @@
 		announce(t, r, catkinrun.Server{ID: "i", Service: "a", Slots: 1, StartUnixMilli: 1, Sequence: 4, Draining: true})
 		_, accepting = r.Server()
 		is.True(!accepting)
-		r.RecordDeregistration("i")
+		r.RecordDeregistration("i", 0)
 		_, accepting = r.Server()
 		is.True(!accepting)
 	}
@@ -252,7 +252,7 @@
 	log.SetOutput(io.Discard)
 	r := registrar.New(&store{rows: make(map[string]catkinrun.Row)}, locator.New(log), configurationWith(), clock.NewFake(), log, catkinrun.Member{Host: "h", Peer: "p"}, "a", 0)
 	for i := range 1000 {
-		r.RecordDeregistration(fmt.Sprint("server-", i))
+		r.RecordDeregistration(fmt.Sprint("server-", i), 0)
 	}
 	is.True(r.EndedCount() <= registrar.MaxEndedServers)
 }
@@ -293,13 +293,13 @@
 	announce(t, r, server)
 	is.NoErr(r.Publish(t.Context()))
 	is.True(s.member(t).Server.Draining)
-	r.RecordDeregistration("i")
+	r.RecordDeregistration("i", 0)
 	_, accepting = r.Server()
 	is.True(accepting)
 	c.Advance(time.Second)
 	_, accepting = r.Server()
 	is.True(!accepting)
-	r.RecordDeregistration("i")
+	r.RecordDeregistration("i", 0)
 	is.NoErr(r.Publish(t.Context()))
 	is.Equal(s.member(t).Server, nil)
 }
--- a/registrar/restore.go
+++ b/registrar/restore.go
@@ -49,6 +49,9 @@
 		}
 		r.self = r.self.WithServer(previous)
 		r.unconfirmed = true
+		if r.endedLocked(*previous) || r.endedUnknownLocked(previous.ID) {
+			r.markLeftLocked() // the row is older than the deregistration
+		}
 		r.log.WithFields(logrus.Fields{"server": previous.ID, "service": previous.Service, "draining": previous.Draining}).
 			Info("registrar: server restored from the store")
 	}
