Locator: a row under another host's key names no member

A row of another writer under any key that describes a known host took that host's place in the index, and its server was listed for another service.

Cause: the index went by the host in the row's value. An undecodable row was also logged at each change of the table.

Evidence: TestRowUnderAnotherKeyNamesNoMember failed before.

Ruled out: judging services of rows against the configuration: a service that no route has is never looked up.

Change: the key has to name the host; the same for the own row that a restarted daemon restores. Each such state of a row is logged once.

--- a/locator/locator.go
+++ b/locator/locator.go
@@ -35,11 +35,12 @@
 	serving  map[string][]catkinrun.Member // by service, members that accept new requests
 	leaving  map[string][]catkinrun.Member // by service, members that are leaving or whose server is draining
 	revision catkinrun.Revision
+	reported map[string]catkinrun.Revision // rows that cannot be decoded, by key, as they were logged
 }
 
 // New returns a locator without members.
 func New(log logrus.FieldLogger) *Locator {
-	l := &Locator{log: log, rows: make(map[string]catkinrun.Row), held: make(map[string]catkinrun.Row)}
+	l := &Locator{log: log, rows: make(map[string]catkinrun.Row), held: make(map[string]catkinrun.Row), reported: make(map[string]catkinrun.Revision)}
 	l.indexLocked()
 	return l
 }
@@ -131,9 +132,10 @@
 		if row.Deleted {
 			continue
 		}
+		row.Key = key
 		member, err := decodeMember(row)
 		if err != nil {
-			l.log.WithError(err).WithField("key", key).Warn("locator: cannot decode member row")
+			l.reportLocked(row, err)
 			continue
 		}
 		l.members[member.Host] = member
@@ -146,6 +148,15 @@
 	}
 }
 
+// reportLocked logs once that a state of a row names no member; the index is built anew at each change.
+func (l *Locator) reportLocked(row catkinrun.Row, cause error) {
+	if l.reported[row.Key] == row.Revision {
+		return
+	}
+	l.reported[row.Key] = row.Revision
+	l.log.WithError(cause).WithField("key", row.Key).Warn("locator: cannot decode member row")
+}
+
 func (l *Locator) indexServerLocked(m catkinrun.Member) {
 	if m.Server == nil {
 		return
@@ -157,11 +168,15 @@
 	list[m.Server.Service] = append(list[m.Server.Service], m)
 }
 
+// decodeMember fails if a row does not describe the host that its key names: it would displace that of another host.
 func decodeMember(row catkinrun.Row) (catkinrun.Member, error) {
 	var member catkinrun.Member
 	if err := json.Unmarshal(row.Value, &member); err != nil {
 		return member, err
 	}
+	if Key(member.Host) != row.Key {
+		return member, &catkinrun.InvalidError{Where: "member " + member.Host, Field: "host", Reason: "the row has the key " + row.Key}
+	}
 	return member, member.Validate()
 }
 
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -1,8 +1,10 @@
 package locator_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -55,6 +57,25 @@
 	is.Equal(len(l.Serving("s")), 1)
 }
 
+// TestRowUnderAnotherKeyNamesNoMember has a row describe a host that has a row of its own, whose server it replaced in the
+// index. It is logged once, not at each change of the table.
+func TestRowUnderAnotherKeyNamesNoMember(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	l := locator.New(log)
+	foreign := memberRow(t, "a", "other", 3)
+	foreign.Key = locator.Key("b")
+	for revision := catkinrun.Revision(3); revision < 9; revision++ {
+		l.Apply(catkinrun.Page{Revision: revision, Rows: []catkinrun.Row{memberRow(t, "a", "s", 1), foreign}}, true)
+		is.Equal(l.Count(), 1)
+		is.Equal(len(l.Serving("s")), 1)
+		is.Equal(len(l.Serving("other")), 0)
+	}
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+}
+
 // TestOlderRowsAreIgnored merges an older listing of another daemon into rows from the store.
 func TestOlderRowsAreIgnored(t *testing.T) {
 	is := is.New(t)
--- a/registrar/restore.go
+++ b/registrar/restore.go
@@ -19,7 +19,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var previous catkinrun.Member
-	if row.Revision == 0 || json.Unmarshal(row.Value, &previous) != nil || previous.Validate() != nil {
+	if row.Revision == 0 || json.Unmarshal(row.Value, &previous) != nil || previous.Validate() != nil || previous.Host != r.host {
 		return // the next write replaces it
 	}
 	if len(r.self.Crashes) == 0 && len(r.self.Refused) == 0 {
