Registrar: a server with an earlier start returns after two announcements if the recorded one is unreachable

An announcement of another writer with the host's own service, before the host's server announces itself for the first time, kept that server out of use for 4 s although requests showed at once that the recorded one is not there.

Cause: an earlier start had to outlast any recorded server by silenceTimeout.

Evidence: the script "another server of the same service before the server has announced itself" failed before.

Ruled out: a single announcement, which may be a late one of a server that has ended.

Change: 1 s, two announcements, if the recorded server is unreachable.

--- a/registrar/order.go
+++ b/registrar/order.go
@@ -72,6 +72,9 @@
 	case wasReplaced:
 		return s.Sequence > replacedAt && r.outlastsLocked(s, returnTimeout)
 	case current != nil && s.StartUnixMilli < current.StartUnixMilli:
+		if r.down {
+			return r.outlastsLocked(s, returnTimeout)
+		}
 		return r.outlastsLocked(s, silenceTimeout)
 	case r.holdsLocked(s):
 		r.keepCandidateLocked(s)
