--- a/follower/follower.go
+++ b/follower/follower.go
@@ -41,13 +41,13 @@
 
 // Follower follows one table.
 type Follower struct {
-	store catkinrun.Store
-	clock catkinrun.Clock
-	log   logrus.FieldLogger
-	table string
-	calm  time.Duration // how long the store holds a watch that follows another one at once
-	pause time.Duration
-	apply Apply
+	store     catkinrun.Store
+	clock     catkinrun.Clock
+	log       logrus.FieldLogger
+	table     string
+	quietWait time.Duration // how long the store holds a watch that follows another one at once
+	pause     time.Duration
+	apply     Apply
 
 	revision    catkinrun.Revision
 	started     bool   // the table has been listed since the start
@@ -64,7 +64,7 @@
 // New returns a follower that passes the changes of the table to apply, in order. In calm times the store holds each
 // watch for wait. The pause after each change lets the next call return several changes at once.
 func New(store catkinrun.Store, clock catkinrun.Clock, log logrus.FieldLogger, table string, wait, pause time.Duration, apply Apply) *Follower {
-	f := &Follower{store: store, clock: clock, log: log, table: table, calm: wait, pause: pause, apply: apply, wait: shortWait, backoff: minBackoff}
+	f := &Follower{store: store, clock: clock, log: log, table: table, quietWait: wait, pause: pause, apply: apply, wait: shortWait, backoff: minBackoff}
 	f.respondedAt.Store(clock.Now().UnixNano())
 	return f
 }
@@ -131,7 +131,7 @@
 	f.fresh = false
 	f.recordRevision(page, page.Complete)
 	if len(page.Rows) == 0 && !page.Complete {
-		f.wait = f.calm
+		f.wait = f.quietWait
 		return nil
 	}
 	f.wait = shortWait
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -33,10 +33,6 @@
 	turnTime = 800 * time.Millisecond
 	// turnTimeout is the time after which a watcher counts as failed.
 	turnTimeout = turnTime + 300*time.Millisecond
-	// longWatch is the wait from which a watch of the store is repeated once the response to another call shows a
-	// newer revision of the store than the watch is known to have passed: its own response may be lost, on a
-	// connection that stays open. Shorter ones end soon by themselves.
-	longWatch = 2 * time.Second
 )
 
 // Request asks a watcher for the changes of a table after a revision, or any daemon to read all of a
@@ -79,22 +75,6 @@
 	helpers int                   // number of requests to read a table for this daemon
 }
 
-// heldWatch is a watch that the store holds until a change.
-type heldWatch struct {
-	after  catkinrun.Revision
-	cancel context.CancelFunc
-}
-
-// table is a copy of a table of the store.
-type table struct {
-	rows     map[string]catkinrun.Row // newest row of each key, deleted ones included
-	listedAt catkinrun.Revision       // deletions before this revision are unknown
-	revision catkinrun.Revision
-	watched  bool          // the last call was to the store itself and succeeded
-	changed  chan struct{} // closed and replaced at each change
-	turns    int           // number of requests to watchers
-}
-
 // New returns a relayer for the daemon that self describes.
 func New(store catkinrun.Store, members Members, ask Ask, log logrus.FieldLogger, self catkinrun.Member) *Relayer {
 	return &Relayer{Store: store, members: members, ask: ask, log: log, self: self, tables: make(map[string]*table), watches: make(map[string]*heldWatch)}
@@ -169,42 +149,6 @@
 	return page, err
 }
 
-// watchStore watches the store itself. A long watch that another response overtakes is given up, and the store is
-// asked for the changes without a wait.
-func (r *Relayer) watchStore(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
-	if wait < longWatch {
-		return r.Store.Watch(ctx, name, after, wait)
-	}
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	r.setWatch(name, &heldWatch{after: after, cancel: cancel})
-	page, err := r.Store.Watch(watchCtx, name, after, wait)
-	r.setWatch(name, nil)
-	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		return r.Store.Watch(ctx, name, after, 0)
-	}
-	return page, err
-}
-
-func (r *Relayer) setWatch(name string, w *heldWatch) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if w == nil {
-		delete(r.watches, name)
-		return
-	}
-	r.watches[name] = w
-}
-
-// overtakeLocked gives up the long watches of other tables that a response of the store has overtaken.
-func (r *Relayer) overtakeLocked(name string, revision catkinrun.Revision) {
-	for other, w := range r.watches {
-		if other != name && revision > w.after {
-			w.cancel()
-		}
-	}
-}
-
 // nextWatcher returns the watcher whose turn it is; ok is false if this daemon has to watch
 // the store itself.
 func (r *Relayer) nextWatcher(name string) (watcher catkinrun.Member, ok bool) {
@@ -288,31 +232,6 @@
 	return t
 }
 
-// replace replaces the copy by a complete page, which may be from before the last change: a read of the
-// store may be stale.
-func (t *table) replace(page catkinrun.Page) {
-	t.rows = make(map[string]catkinrun.Row, len(page.Rows))
-	t.listedAt, t.revision = page.Revision, page.Revision
-	t.add(page)
-}
-
-func (t *table) add(page catkinrun.Page) {
-	for _, row := range page.Rows {
-		if row.Revision >= t.rows[row.Key].Revision {
-			t.rows[row.Key] = row
-		}
-	}
-	t.revision = max(t.revision, page.Revision)
-	if len(page.Rows) > 0 {
-		t.notify()
-	}
-}
-
-func (t *table) notify() {
-	close(t.changed)
-	t.changed = make(chan struct{})
-}
-
 // Handle responds to the request of another daemon, at the latest after turnTime.
 func (r *Relayer) Handle(ctx context.Context, request *Request) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, turnTime)
