--- a/relayer/overtaken_test.go
+++ b/relayer/overtaken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,20 +19,44 @@
 // lossyStore has two tables. The response to each watch of "held" that waits is lost on a connection that stays open.
 type lossyStore struct {
 	catkinrun.Store
+
+	mu       sync.Mutex
 	revision catkinrun.Revision // of the last change, of "held"
-	calls    map[string]int
+	held     int                // calls for "held"
+}
+
+func (s *lossyStore) write() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+}
+
+func (s *lossyStore) heldCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// call counts a call and returns the revision.
+func (s *lossyStore) call(table string) catkinrun.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if table == "held" {
+		s.held++
+	}
+	return s.revision
 }
 
 func (s *lossyStore) Watch(ctx context.Context, table string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
-	s.calls[table]++
 	if table == "held" && wait > 0 {
+		s.call(table)
 		<-ctx.Done()
 		return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch", Cause: ctx.Err()}
 	}
 	time.Sleep(wait)
-	page := catkinrun.Page{Revision: s.revision}
-	if table == "held" && s.revision > after {
-		page.Rows = []catkinrun.Row{{Key: "k", Revision: s.revision}}
+	page := catkinrun.Page{Revision: s.call(table)}
+	if table == "held" && page.Revision > after {
+		page.Rows = []catkinrun.Row{{Key: "k", Revision: page.Revision}}
 	}
 	return page, nil
 }
@@ -48,7 +73,7 @@
 		is := is.New(t)
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		s := &lossyStore{revision: 3, calls: make(map[string]int)}
+		s := &lossyStore{revision: 3}
 		r := relayer.New(s, nobody{}, nil, log, catkinrun.Member{Host: "h", Zone: "z"})
 		type result struct {
 			page catkinrun.Page
@@ -64,8 +89,8 @@
 			is.NoErr(err)
 		}
 		synctest.Wait()
-		is.Equal(s.calls["held"], 1) // nothing has changed
-		s.revision++
+		is.Equal(s.heldCalls(), 1) // nothing has changed
+		s.write()
 		writtenAt := time.Now()
 		_, err := r.Watch(t.Context(), "other", 3, follower.PromptWait)
 		is.NoErr(err)
