--- a/daemon/announcement_test.go
+++ b/daemon/announcement_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,13 +14,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/sirupsen/logrus"
-
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/clock"
-	"github.com/catkinrun/catkinrun/journaler"
-	"github.com/catkinrun/catkinrun/loader"
 	"github.com/catkinrun/catkinrun/locator"
 	"github.com/catkinrun/catkinrun/platform"
 	"github.com/catkinrun/catkinrun/prober"
@@ -132,13 +126,7 @@
 }
 
 func newAnnouncementHost() *announcementHost {
-	now := clock.NewFake()
-	journal := journaler.New(now, io.Discard, logrus.InfoLevel)
-	d := &Daemon{
-		settings: loader.Settings{Host: "h", Zone: "z", Service: "recipes", Times: loader.Times{Store: catkinrun.Duration(time.Second), Drain: catkinrun.Duration(2 * time.Second)}},
-		clock:    now, leaseClock: now, journal: journal, log: journal.Logger(), metrics: metrics.NewSet(),
-	}
-	d.build()
+	d, now := newIdleDaemon("recipes")
 	server := &checkedServer{answer: []string{"silent"}}
 	checks := prober.New(d.registrar, d.configurer, &http.Client{Transport: server}, platform.HeaderCodec{}, "10.0.0.1:80", now, d.log)
 	return &announcementHost{daemon: d, clock: now, handler: platform.AnnouncementHandler(d.registrar), server: server, checks: checks}
--- a/daemon/members_test.go
+++ b/daemon/members_test.go
@@ -18,17 +18,23 @@
 	"github.com/catkinrun/catkinrun/screener"
 )
 
-// TestRestartedDaemonPublishesCrashesWithItsServer starts a daemon whose row has a server and an end of an
-// earlier one. The row that the daemon publishes because of that end must have the server.
-func TestRestartedDaemonPublishesCrashesWithItsServer(t *testing.T) {
-	is := is.New(t)
+// newIdleDaemon returns a daemon beside a server of a service, without listeners, none of whose components runs.
+func newIdleDaemon(service string) (*Daemon, *clock.Fake) {
 	now := clock.NewFake()
 	journal := journaler.New(now, io.Discard, logrus.InfoLevel)
 	d := &Daemon{
-		settings: loader.Settings{Host: "h", Zone: "z", Service: "s", Times: loader.Times{Store: catkinrun.Duration(time.Second)}},
+		settings: loader.Settings{Host: "h", Zone: "z", Service: service, Times: loader.Times{Store: catkinrun.Duration(time.Second), Drain: catkinrun.Duration(2 * time.Second)}},
 		clock:    now, leaseClock: now, journal: journal, log: journal.Logger(), metrics: metrics.NewSet(),
 	}
 	d.build()
+	return d, now
+}
+
+// TestRestartedDaemonPublishesCrashesWithItsServer starts a daemon whose row has a server and an end of an
+// earlier one. The row that the daemon publishes because of that end must have the server.
+func TestRestartedDaemonPublishesCrashesWithItsServer(t *testing.T) {
+	is := is.New(t)
+	d, now := newIdleDaemon("s")
 	published := 0
 	d.screener = screener.New(now, d.log, "h", func(catkinrun.CrashReport) {
 		published++
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -110,7 +110,7 @@
 
 // writtenIn reports whether a row was written in an era, and is not from a backup.
 func writtenIn(era uint64, row catkinrun.Row) bool {
-	member, err := decodeMember(row)
+	member, err := DecodeMember(row)
 	return err == nil && member.Era == era
 }
 
@@ -133,7 +133,7 @@
 			continue
 		}
 		row.Key = key
-		member, err := decodeMember(row)
+		member, err := DecodeMember(row)
 		if err != nil {
 			l.reportLocked(row, err)
 			continue
@@ -168,8 +168,9 @@
 	list[m.Server.Service] = append(list[m.Server.Service], m)
 }
 
-// decodeMember fails if a row does not describe the host that its key names: it would displace that of another host.
-func decodeMember(row catkinrun.Row) (catkinrun.Member, error) {
+// DecodeMember returns the member that a row describes. It fails if that is not the host which the key names: the row
+// would displace that of another host.
+func DecodeMember(row catkinrun.Row) (catkinrun.Member, error) {
 	var member catkinrun.Member
 	if err := json.Unmarshal(row.Value, &member); err != nil {
 		return member, err
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -84,15 +84,14 @@
 		if recorded.Start() != server.Start() || recorded.Draining {
 			return
 		}
-		wait := configurationInterval
-		if service, ok := p.configuration.Snapshot().Service(server.Service); ok && service.Health != "" {
-			if p.ask(ctx, server, service.Health) {
-				return
+		snapshot, wait := p.configuration.Snapshot(), configurationInterval
+		if snapshot.Version() > 0 {
+			service, _ := snapshot.Service(server.Service)
+			if service.Health == "" || p.ask(ctx, server, service.Health) {
+				return // there is nothing to ask, or an answer
 			}
 			checks++
 			wait = retryInterval
-		} else if p.configuration.Snapshot().Version() > 0 {
-			return // there is nothing to ask
 		}
 		if p.clock.Wait(ctx, wait) != nil {
 			return
--- a/registrar/order.go
+++ b/registrar/order.go
@@ -125,10 +125,7 @@
 }
 
 func (r *Registrar) endLocked(s catkinrun.Server) {
-	r.ended = append(r.ended, endedServer{id: s.ID, startUnixMilli: s.StartUnixMilli})
-	if len(r.ended) > maxEndedServers {
-		r.ended = r.ended[1:]
-	}
+	r.ended = appendBounded(r.ended, endedServer{id: s.ID, startUnixMilli: s.StartUnixMilli})
 }
 
 // endedUnknownLocked reports whether a server has deregistered without its start, which was not known.
@@ -155,12 +152,15 @@
 	}
 }
 
+// appendBounded appends an entry, and drops the oldest one beyond maxEndedServers.
+func appendBounded[E any](list []E, entry E) []E {
+	list = append(list, entry)
+	return list[max(0, len(list)-maxEndedServers):]
+}
+
 // replaceLocked records that a server is no longer the recorded one, without its deregistration.
 func (r *Registrar) replaceLocked(s catkinrun.Server) {
-	r.replaced = append(r.replaced, s)
-	if len(r.replaced) > maxEndedServers {
-		r.replaced = r.replaced[1:]
-	}
+	r.replaced = appendBounded(r.replaced, s)
 }
 
 // replacedSequenceLocked returns the number of the last announcement of a server that another one has replaced.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -121,7 +121,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.checkLocked(s); err != nil {
-		r.reportRefusalLocked(s.ID, err)
 		return nil, err
 	}
 	if !r.acceptsLocked(s) {
@@ -189,14 +188,21 @@
 func (r *Registrar) MarkLeaving(start string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.markLeavingLocked(start, "registrar: server is leaving")
+}
+
+// markLeavingLocked records that a start of the server is leaving, unless another one is recorded or that is known. It
+// reports whether it did.
+func (r *Registrar) markLeavingLocked(start, message string) bool {
 	current := r.self.Server
 	if current == nil || current.Start() != start || current.Draining {
-		return
+		return false
 	}
 	r.drainLocked(current)
 	r.unannounced = true
-	r.log.WithFields(logrus.Fields{"server": current.ID, "service": current.Service}).Info("registrar: server is leaving")
+	r.log.WithFields(logrus.Fields{"server": current.ID, "service": current.Service}).Info(message)
 	r.publishLocked()
+	return true
 }
 
 // Deregister implements platform.Registrar. It records that the server is about to end and,
--- a/registrar/restore.go
+++ b/registrar/restore.go
@@ -1,12 +1,12 @@
 package registrar
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/locator"
 )
 
 // Restore records the server that an earlier incarnation of this daemon published. The row may be older than
@@ -18,8 +18,8 @@
 func (r *Registrar) Restore(row catkinrun.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var previous catkinrun.Member
-	if row.Revision == 0 || json.Unmarshal(row.Value, &previous) != nil || previous.Validate() != nil || previous.Host != r.host {
+	previous, err := locator.DecodeMember(row)
+	if row.Revision == 0 || err != nil || previous.Host != r.host {
 		return // the next write replaces it
 	}
 	if len(r.self.Crashes) == 0 && len(r.self.Refused) == 0 {
@@ -40,7 +40,7 @@
 	case previous == nil:
 	case current != nil && current.Start() == previous.Start():
 		if previous.Draining {
-			r.markLeftLocked()
+			r.markLeftLocked(previous.Start())
 		}
 	case current == nil && !r.announced:
 		if err := r.checkLocked(*previous); err != nil {
@@ -50,7 +50,7 @@
 		r.self = r.self.WithServer(previous)
 		r.unconfirmed = true
 		if r.endedLocked(*previous) || r.endedUnknownLocked(previous.ID) {
-			r.markLeftLocked() // the row is older than the deregistration
+			r.markLeftLocked(previous.Start()) // the row is older than the deregistration
 		}
 		r.log.WithFields(logrus.Fields{"server": previous.ID, "service": previous.Service, "draining": previous.Draining}).
 			Info("registrar: server restored from the store")
@@ -87,21 +87,14 @@
 func (r *Registrar) MarkLeft(start string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if current := r.self.Server; current != nil && current.Start() == start {
-		r.markLeftLocked()
-	}
+	r.markLeftLocked(start)
 }
 
 // markLeftLocked records that the server was leaving before this daemon started. There is no grace period.
-func (r *Registrar) markLeftLocked() {
-	current := r.self.Server
-	if current.Draining {
-		return
+func (r *Registrar) markLeftLocked(start string) {
+	if r.markLeavingLocked(start, "registrar: server was leaving before this daemon started") {
+		r.acceptUntil = time.Time{}
 	}
-	r.drainLocked(current)
-	r.unannounced, r.acceptUntil = true, time.Time{}
-	r.log.WithFields(logrus.Fields{"server": current.ID, "service": current.Service}).Info("registrar: server was leaving before this daemon started")
-	r.publishLocked()
 }
 
 // ReportCrashes publishes what this daemon has seen of the ends of its server.
