--- a/filterer/classify.go
+++ b/filterer/classify.go
@@ -40,7 +40,7 @@
 	c.Route = r.Route
 	e := &c.Envelope
 	e.EntryAddress = f.deps.Self.Peer
-	e.Caller = f.callerService()
+	e.Caller, c.Origin = f.callerService()
 	e.Version = snapshot.Version()
 	e.Route = r.Name
 	e.Priority, e.TeamPriority = r.Route.Priority, r.Route.Priority
@@ -57,11 +57,12 @@
 
 // callerService returns the service of this host's server, or the configured one if no
 // server is known.
-func (f *classify) callerService() string {
-	if server, _ := f.deps.Registrar.Server(); server.Service != "" {
-		return server.Service
+func (f *classify) callerService() (service string, origin catkinrun.Origin) {
+	service, origin = f.deps.Registrar.Service()
+	if service == "" {
+		return f.deps.Service, catkinrun.Origin{Source: "settings", StatedAt: f.deps.StartedAt}
 	}
-	return f.deps.Service
+	return service, origin
 }
 
 // trafficSplitter divides the requests of each route among its services by weight.
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/admitter"
@@ -73,8 +74,9 @@
 // Dependencies holds the components and settings that the steps use.
 type Dependencies struct {
 	Self        catkinrun.Member
-	Service     string // service of this host until its server has announced itself
-	Server      string // address of the server beside this daemon, IP and port
+	Service     string    // service of this host until its server has announced itself
+	StartedAt   time.Time // of this daemon
+	Server      string    // address of the server beside this daemon, IP and port
 	HeaderCodec catkinrun.HeaderCodec
 	Configurer  *configurer.Configurer
 	Correlator  *correlator.Correlator
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -96,6 +96,20 @@
 	return server, !r.down && !r.unconfirmed && (!server.Draining || r.clock.Now().Before(r.acceptUntil))
 }
 
+// Service returns the service of the recorded server, empty for none, and where it is known from.
+func (r *Registrar) Service() (service string, origin catkinrun.Origin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.self.Server == nil {
+		return "", catkinrun.Origin{}
+	}
+	source := "announcement"
+	if !r.announced {
+		source = "row"
+	}
+	return r.self.Server.Service, catkinrun.Origin{Source: source + " of " + r.self.Server.ID, StatedAt: r.announcedAt}
+}
+
 // Announce implements platform.Registrar. It records the announcement and, if that changes
 // the row, waits until the row is published, for at most publishTimeout. It fails with
 // *catkinrun.InvalidError if the announcement names no server.
