Filterer: requests bear the service of the host's settings

Cause: the caller's service was that of the recorded server, which an announcement or the row of an earlier start names; the settings' service was used only while no server was recorded. The address and the name of a host may be used again by a host of another service, so that announcements and rows of others reach its daemon. Routing needs what the server says of itself, the header needs what the host is.

Change: the registrar holds the service of the settings, and classify takes the caller's service from there alone. The line of each attempt prints it with the time for which the settings have named it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -150,7 +150,7 @@
 	d.admitter = admitter.New(initialSlots, d.clock)
 	d.observer = observer.New(d.clock, d.log, drainGrace)
 	deps := &filterer.Dependencies{
-		Self: self, Service: s.Service, StartedAt: d.clock.Now(), Server: s.Server, HeaderCodec: platform.HeaderCodec{},
+		Self: self, Server: s.Server, HeaderCodec: platform.HeaderCodec{},
 		Configurer: d.configurer, Correlator: correlator.New(), Shedder: shedder.New(d.clock, rand.Float64), Limiter: d.limiter, Router: router.New(observer.NewMembers(d.locator, d.observer), d.clock, d.log, s.Zone, rand.Float64),
 		Budget: retrier.New(float64(s.Retries), d.serverCount), Registrar: d.registrar, Admitter: d.admitter, Observer: d.observer, Screener: d.screener, Syncer: d.syncer,
 		Peers: peers, Backend: exchanger.New(dialTimeout, serverIdleTimeout, maxIdleServerConns),
--- a/filter.go
+++ b/filter.go
@@ -25,7 +25,7 @@
 	Deadline  time.Time     // when the response is due, by this daemon's clock
 	TimeLeft  time.Duration // as stated by the caller, 0 if not stated
 	CallerKey string        // caller's key, until it is checked
-	Origin    Origin        // of the caller's service in the envelope
+	ServiceAt time.Time     // since when the settings name the caller's service
 	Host      string        // chosen host
 	Peer      string        // address of the chosen host's daemon, IP and port
 	Tried     []string      // hosts of earlier attempts
@@ -46,12 +46,6 @@
 	Server   string        // start of the backend server, if the response states something about it
 }
 
-// Origin tells where a daemon has the service of its own host from.
-type Origin struct {
-	Source   string // a server's announcement, the row of an earlier start, or the settings
-	StatedAt time.Time
-}
-
 // RequestMetadata holds what a caller states about its request in headers.
 type RequestMetadata struct {
 	ID        string
--- a/filterer/classify.go
+++ b/filterer/classify.go
@@ -40,7 +40,7 @@
 	c.Route = r.Route
 	e := &c.Envelope
 	e.EntryAddress = f.deps.Self.Peer
-	e.Caller, c.Origin = f.callerService()
+	e.Caller, c.ServiceAt = f.deps.Registrar.Service()
 	e.Version = snapshot.Version()
 	e.Route = r.Name
 	e.Priority, e.TeamPriority = r.Route.Priority, r.Route.Priority
@@ -55,16 +55,6 @@
 	return cancelAfterResponse(ctx, cancel, c, next)
 }
 
-// callerService returns the service of this host's server, or the configured one if no
-// server is known.
-func (f *classify) callerService() (service string, origin catkinrun.Origin) {
-	service, origin = f.deps.Registrar.Service()
-	if service == "" {
-		return f.deps.Service, catkinrun.Origin{Source: "settings", StatedAt: f.deps.StartedAt}
-	}
-	return service, origin
-}
-
 // trafficSplitter divides the requests of each route among its services by weight.
 type trafficSplitter struct {
 	mu     sync.Mutex
--- a/filterer/path_test.go
+++ b/filterer/path_test.go
@@ -110,7 +110,7 @@
 	reg := registrar.New(store{}, hosts, conf, system, log, self, service, drainGrace)
 	scr := screener.New(system, log, host, reg.ReportCrashes)
 	return &filterer.Dependencies{
-		Self: self, Service: service, Server: address, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
+		Self: self, Server: address, HeaderCodec: platform.HeaderCodec{}, Configurer: conf,
 		Correlator: correlator.New(), Shedder: shedder.New(system, func() float64 { return 0.99 }),
 		Limiter: limiter.New(conf, hosts, ownerless{}, system, log, host),
 		Router:  router.New(observer.NewMembers(hosts, obs), system, log, "z", func() float64 { return 0 }), Budget: retrier.New(48, hosts.Count),
--- a/filterer/route.go
+++ b/filterer/route.go
@@ -37,7 +37,7 @@
 	fields := logrus.Fields{
 		"request": c.Envelope.Request, "route": c.Envelope.Route, "service": c.Envelope.Service, "team": c.Envelope.Team,
 		"host": c.Host, "score": loggedScore(choice.Score), "among": choice.Candidates, "attempt": c.Envelope.Attempt,
-		"caller": c.Envelope.Caller, "caller-from": c.Origin.Source, "caller-age-ms": startedAt.Sub(c.Origin.StatedAt).Milliseconds(),
+		"caller": c.Envelope.Caller, "caller-age-ms": startedAt.Sub(c.ServiceAt).Milliseconds(),
 		"version": c.Envelope.Version, "took-ms": f.clock.Now().Sub(startedAt).Milliseconds(),
 	}
 	if err != nil {
--- a/filterer/table.go
+++ b/filterer/table.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/admitter"
@@ -74,9 +73,7 @@
 // Dependencies holds the components and settings that the steps use.
 type Dependencies struct {
 	Self        catkinrun.Member
-	Service     string    // service of this host until its server has announced itself
-	StartedAt   time.Time // of this daemon
-	Server      string    // address of the server beside this daemon, IP and port
+	Server      string // address of the server beside this daemon, IP and port
 	HeaderCodec catkinrun.HeaderCodec
 	Configurer  *configurer.Configurer
 	Correlator  *correlator.Correlator
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -56,6 +56,7 @@
 	unchecked     chan catkinrun.Server // to be asked whether it is leaving
 
 	mu          sync.Mutex
+	serviceAt   time.Time // since when the settings name the service
 	self        catkinrun.Member
 	announced   bool   // the server has announced itself to this incarnation of the daemon
 	down        bool   // a connection was refused, or reached another server, since the last announcement
@@ -79,7 +80,7 @@
 func New(store catkinrun.Store, locator Locator, configuration Configuration, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, service string, drainGrace time.Duration) *Registrar {
 	return &Registrar{
 		store: store, locator: locator, configuration: configuration, clock: clock, log: log, host: self.Host, self: self, service: service, drainGrace: drainGrace,
-		changed: make(chan struct{}, 1), unchecked: make(chan catkinrun.Server, 1), announcedAt: clock.Now(),
+		changed: make(chan struct{}, 1), unchecked: make(chan catkinrun.Server, 1), announcedAt: clock.Now(), serviceAt: clock.Now(),
 	}
 }
 
@@ -96,18 +97,12 @@
 	return server, !r.down && !r.unconfirmed && (!server.Draining || r.clock.Now().Before(r.acceptUntil))
 }
 
-// Service returns the service of the recorded server, empty for none, and where it is known from.
-func (r *Registrar) Service() (service string, origin catkinrun.Origin) {
+// Service returns the service of this host, and since when the settings name it. Requests that begin here bear it: unlike an
+// announcement, the settings come from the platform alone.
+func (r *Registrar) Service() (service string, since time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.self.Server == nil {
-		return "", catkinrun.Origin{}
-	}
-	source := "announcement"
-	if !r.announced {
-		source = "row"
-	}
-	return r.self.Server.Service, catkinrun.Origin{Source: source + " of " + r.self.Server.ID, StatedAt: r.announcedAt}
+	return r.service, r.serviceAt
 }
 
 // Announce implements platform.Registrar. It records the announcement and, if that changes
