Registrar: a server of another service than the settings' is not the one beside the daemon

A server of another service, recorded after 2 s of silence of the host's own, has that effect: the row offers the host for the other service, requests are sent there, and the server at the address rejects them or the daemon refuses them; the host's own server gets none until it has announced itself twice more.

The settings' service was only one of those that an announcement could name.

Change: announcements and rows of another service than the settings' are refused without effect. The number of servers of this host's service, for the retry budget, is that of the settings' too. SetService takes a changed service.

--- a/daemon/announcement_test.go
+++ b/daemon/announcement_test.go
@@ -173,6 +173,8 @@
 			fail("%v", err)
 		}
 		h.clock.Advance(d)
+	case "settings":
+		h.daemon.registrar.SetService(words[0])
 	case "unreachable":
 		h.daemon.registrar.MarkDown(words[0], "connection refused")
 	case "restore":
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -136,7 +136,7 @@
 	d.configurer = configurer.New(d.clock, d.log)
 	d.locator = locator.New(d.log)
 	drainGrace := time.Duration(drainServeFraction * float64(s.Times.Drain))
-	d.registrar = registrar.New(d.store, d.locator, d.configurer, d.clock, d.log, self, s.Service, drainGrace)
+	d.registrar = registrar.New(d.store, d.locator, d.clock, d.log, self, s.Service, drainGrace)
 	d.prober = prober.New(d.registrar, d.configurer, &http.Client{Transport: dialer.Transport(dialTimeout, serverIdleTimeout, 1)}, platform.HeaderCodec{}, s.Server, d.clock, d.log)
 	d.broker = broker.New(d.store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
@@ -163,8 +163,8 @@
 
 // serverCount returns the number of servers of this host's service.
 func (d *Daemon) serverCount() int {
-	server, _ := d.registrar.Server()
-	return len(d.locator.Serving(server.Service))
+	service, _ := d.registrar.Service()
+	return len(d.locator.Serving(service))
 }
 
 func (d *Daemon) applyConfiguration(page catkinrun.Page, _ bool) {
--- a/registrar/order.go
+++ b/registrar/order.go
@@ -30,23 +30,14 @@
 	unreported int
 }
 
-// checkLocked fails with *catkinrun.InvalidError if an announcement names no server: neither the settings nor
-// the configuration have its service, or the server announced another one before. A running server is known
-// even if the configuration no longer has its service.
+// checkLocked fails with *catkinrun.InvalidError if an announcement or a row names a server of another service than the
+// settings do. Such a server is not beside this daemon: the address or the name of a host may be used again by one of
+// another service.
 func (r *Registrar) checkLocked(s catkinrun.Server) error {
-	current := r.self.Server
-	known := s.Service == r.service
-	switch {
-	case known:
-	case current != nil && current.Start() == s.Start():
-		known = s.Service == current.Service
-	default:
-		known = r.configuration.Snapshot().HasService(s.Service)
-	}
-	if known {
+	if s.Service == r.service {
 		return nil
 	}
-	return &catkinrun.InvalidError{Where: "announcement of " + s.ID, Field: "service", Reason: "neither the settings nor the configuration name " + s.Service}
+	return &catkinrun.InvalidError{Where: "server " + s.ID, Field: "service", Reason: "the settings name " + r.service + ", not " + s.Service}
 }
 
 // reportRefusalLocked logs an announcement that names no server, at most one in each refusalInterval.
@@ -76,31 +67,22 @@
 			return r.outlastsLocked(s, returnTimeout)
 		}
 		return r.outlastsLocked(s, silenceTimeout)
-	case r.holdsLocked(s):
+	case r.holdsLocked():
 		r.keepCandidateLocked(s)
 		return false
 	}
 	return true
 }
 
-// holdsLocked reports whether the recorded server, or the one that the settings name, stays in use although a
-// later start has been announced, since it may still announce itself.
-func (r *Registrar) holdsLocked(s catkinrun.Server) bool {
-	if r.clock.Now().Sub(r.announcedAt) >= replaceTimeout {
-		return false
-	}
-	if s.Service != r.service {
-		return true
-	}
+// holdsLocked reports whether the recorded server stays in use although a later start has been announced, since it
+// may still announce itself.
+func (r *Registrar) holdsLocked() bool {
 	current := r.self.Server
-	return current != nil && r.announced && current.Service == r.service && !current.Draining && !r.down
+	return current != nil && r.announced && !current.Draining && !r.down && r.clock.Now().Sub(r.announcedAt) < replaceTimeout
 }
 
-// keepCandidateLocked keeps a server of this host's service, to use it once the recorded one is unreachable.
+// keepCandidateLocked keeps a server, to use it once the recorded one is unreachable.
 func (r *Registrar) keepCandidateLocked(s catkinrun.Server) {
-	if s.Service != r.service {
-		return
-	}
 	if r.candidate != nil && r.candidate.Start() == s.Start() {
 		s.Draining = s.Draining || r.candidate.Draining
 		s.Sequence = max(s.Sequence, r.candidate.Sequence)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -37,26 +37,20 @@
 	Apply(page catkinrun.Page, complete bool)
 }
 
-// Configuration has the configuration in force.
-type Configuration interface {
-	Snapshot() *catkinrun.Snapshot
-}
-
 // Registrar publishes one host's member row. It is safe for concurrent use.
 type Registrar struct {
-	store         catkinrun.Store
-	locator       Locator
-	configuration Configuration
-	clock         catkinrun.Clock
-	log           logrus.FieldLogger
-	host          string
-	service       string // of the server beside this daemon by the settings
-	drainGrace    time.Duration
-	changed       chan struct{}         // requests a write of the row
-	unchecked     chan catkinrun.Server // to be asked whether it is leaving
+	store      catkinrun.Store
+	locator    Locator
+	clock      catkinrun.Clock
+	log        logrus.FieldLogger
+	host       string
+	drainGrace time.Duration
+	changed    chan struct{}         // requests a write of the row
+	unchecked  chan catkinrun.Server // to be asked whether it is leaving
 
 	mu          sync.Mutex
-	serviceAt   time.Time // since when the settings name the service
+	service     string    // of this host by the settings
+	serviceAt   time.Time // since when the settings name it
 	self        catkinrun.Member
 	announced   bool   // the server has announced itself to this incarnation of the daemon
 	down        bool   // a connection was refused, or reached another server, since the last announcement
@@ -75,11 +69,11 @@
 	waiters     []chan struct{} // each closed once the row is published
 }
 
-// New returns a registrar for the daemon that self describes, beside a server of a service. A draining server still
+// New returns a registrar for the daemon that self describes, on a host whose service the settings name. A draining server still
 // accepts requests for drainGrace, from entry daemons that know no other server.
-func New(store catkinrun.Store, locator Locator, configuration Configuration, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, service string, drainGrace time.Duration) *Registrar {
+func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, service string, drainGrace time.Duration) *Registrar {
 	return &Registrar{
-		store: store, locator: locator, configuration: configuration, clock: clock, log: log, host: self.Host, self: self, service: service, drainGrace: drainGrace,
+		store: store, locator: locator, clock: clock, log: log, host: self.Host, self: self, service: service, drainGrace: drainGrace,
 		changed: make(chan struct{}, 1), unchecked: make(chan catkinrun.Server, 1), announcedAt: clock.Now(), serviceAt: clock.Now(),
 	}
 }
@@ -97,14 +91,6 @@
 	return server, !r.down && !r.unconfirmed && (!server.Draining || r.clock.Now().Before(r.acceptUntil))
 }
 
-// Service returns the service of this host, and since when the settings name it. Requests that begin here bear it: unlike an
-// announcement, the settings come from the platform alone.
-func (r *Registrar) Service() (service string, since time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.service, r.serviceAt
-}
-
 // Announce implements platform.Registrar. It records the announcement and, if that changes
 // the row, waits until the row is published, for at most publishTimeout. It fails with
 // *catkinrun.InvalidError if the announcement names no server.
@@ -166,7 +152,7 @@
 	if first && r.restarted || r.endedUnknownLocked(s.ID) {
 		r.requestCheckLocked() // the announcement may be late
 	}
-	if sameStart && previous.Service == s.Service && previous.Slots == s.Slots && previous.Draining == s.Draining {
+	if sameStart && previous.Slots == s.Slots && previous.Draining == s.Draining {
 		return nil
 	}
 	r.log.WithFields(logrus.Fields{
--- a/snapshot.go
+++ b/snapshot.go
@@ -114,14 +114,6 @@
 	return *service, true
 }
 
-// HasService reports whether the configuration names a service, as a resource or as the target of a route.
-func (s *Snapshot) HasService(name string) bool {
-	if _, ok := s.services[name]; ok {
-		return true
-	}
-	return slices.ContainsFunc(s.resources, func(r Resource) bool { return r.Route != nil && r.Route.HasTarget(name) })
-}
-
 // TeamOfKey returns the name of the team that holds a key.
 func (s *Snapshot) TeamOfKey(key string) (string, bool) {
 	team, ok := s.keys[key]
