Commander, loader, daemon: the reload of the settings in parts that tests can run

The reloader has a file of its own, gets its dependencies and ends with the process; the loader reads a file and parses its content in two functions, so that contents can be compared; the daemon applies what was reloaded (Reload).

--- a/commander/daemon.go
+++ b/commander/daemon.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"log"
 	"os"
 	"os/signal"
@@ -9,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/clock"
 	"github.com/catkinrun/catkinrun/daemon"
 	"github.com/catkinrun/catkinrun/journaler"
@@ -25,7 +25,11 @@
 		Example: "  catkinrun daemon --settings /etc/catkinrun.yaml",
 		Args:    noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			settings, err := loader.Load(file)
+			raw, err := loader.Read(file)
+			if err != nil {
+				return err
+			}
+			settings, err := loader.Parse(file, raw)
 			if err != nil {
 				return err
 			}
@@ -41,41 +45,14 @@
 			if err != nil {
 				return err
 			}
-			r := &reloader{file: file, journal: journal, signals: make(chan os.Signal, 1)}
-			signal.Notify(r.signals, syscall.SIGHUP)
-			go r.run()
+			signals := make(chan os.Signal, 1)
+			signal.Notify(signals, syscall.SIGHUP)
+			running, stop := context.WithCancel(context.WithoutCancel(c.Context())) // a daemon that leaves follows its settings
+			defer stop()
+			go newReloader(file, raw, d.Reload, signals, system, journal.Logger()).run(running)
 			return d.Serve(c.Context())
 		},
 	}
 	command.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsEnvVar), "YAML file with this host's settings (default $"+platform.SettingsEnvVar+")")
 	return command
 }
-
-// reloader reloads the settings on SIGHUP. Only a new log level takes effect; addresses
-// and all other settings are fixed while the process runs.
-type reloader struct {
-	file    string
-	journal *journaler.Journal
-	signals chan os.Signal
-}
-
-func (r *reloader) run() {
-	for range r.signals {
-		r.reload()
-	}
-}
-
-func (r *reloader) reload() {
-	settings, err := loader.Load(r.file)
-	if err != nil {
-		r.journal.Logger().WithError(err).Error("daemon: cannot reload settings; the previous settings stay in effect")
-		return
-	}
-	level, err := logrus.ParseLevel(settings.Log.Level)
-	if err != nil {
-		r.journal.Logger().WithError(&catkinrun.InvalidError{Where: r.file, Field: "log.level", Reason: err.Error()}).Error("daemon: cannot reload settings; the previous settings stay in effect")
-		return
-	}
-	r.journal.Logger().SetLevel(level)
-	r.journal.Logger().WithField("level", level.String()).Info("daemon: settings reloaded")
-}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -78,12 +78,17 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
-// Load reads and checks the settings in a file; it fails with *FileError.
-func Load(file string) (Settings, error) {
+// Read returns the content of a file with settings; it fails with *FileError.
+func Read(file string) ([]byte, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return Settings{}, &FileError{File: file, Cause: err}
+		return nil, &FileError{File: file, Cause: err}
 	}
+	return raw, nil
+}
+
+// Parse decodes and checks the settings in the content of a file; it fails with *FileError.
+func Parse(file string, raw []byte) (Settings, error) {
 	settings := Defaults()
 	decoder := yaml.NewDecoder(bytes.NewReader(raw))
 	decoder.KnownFields(true)
