Daemon: the service of reloaded settings takes effect

What users see: a host whose settings name another service keeps its former one until the daemon is started again, and nothing in the log says which changed settings have no effect.

Cause: the service is passed to the components once, when they are built; a reload sets the log level and nothing else.

One warning line, 'daemon: settings take effect at the next start', names the settings that differ from those of the start and are fixed, by the names in the file (loader.Difference, which covers settings that are added later).

Ruled out: applying addresses, times and limits while the process runs: listeners, connections and components are built from them.

--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -1,12 +1,18 @@
 package daemon
 
 import (
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun/loader"
 )
 
-// Reload applies checked settings while the daemon runs. Only a new log level takes effect.
+// reloadable are the settings that take effect while the process runs.
+var reloadable = []string{"service", "log.level"}
+
+// Reload applies checked settings while the daemon runs. The service of the host and the log level take effect; the other
+// settings are those of the start, and the log names the ones that differ.
 func (d *Daemon) Reload(settings loader.Settings) {
 	level, err := logrus.ParseLevel(settings.Log.Level)
 	if err != nil {
@@ -14,4 +20,9 @@
 		return
 	}
 	d.log.SetLevel(level)
+	d.registrar.SetService(settings.Service)
+	fixed := slices.DeleteFunc(loader.Difference(d.settings, settings), func(name string) bool { return slices.Contains(reloadable, name) })
+	if len(fixed) > 0 {
+		d.log.WithField("settings", fixed).Warn("daemon: settings take effect at the next start")
+	}
 }
