Commander: the daemon expects SIGHUP before it reads its settings

Cause: the signal's default effect holds until the handler is set, which was after the listeners were opened.

Change: the handler is set first; a signal that comes before the reloader runs waits in the channel and is answered.

What remains is the start of the runtime and of the packages, which no handler can precede. No test in our own process: the default effect would end it.

--- a/commander/daemon.go
+++ b/commander/daemon.go
@@ -25,6 +25,8 @@
 		Example: "  catkinrun daemon --settings /etc/catkinrun.yaml",
 		Args:    noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			signals := make(chan os.Signal, 1)
+			signal.Notify(signals, syscall.SIGHUP) // first, since SIGHUP ends a process that does not
 			raw, err := loader.Read(file)
 			if err != nil {
 				return err
@@ -45,8 +47,6 @@
 			if err != nil {
 				return err
 			}
-			signals := make(chan os.Signal, 1)
-			signal.Notify(signals, syscall.SIGHUP)
 			running, stop := context.WithCancel(context.WithoutCancel(c.Context())) // a daemon that leaves follows its settings
 			defer stop()
 			go newReloader(file, raw, d.Reload, signals, system, journal.Logger()).run(running)
