Correlator: test that calls of a retry of class 0 count as repeats; fails on the current code

A server's call carries nothing that names its parent request, so the entry daemon takes class, weight and retry from the running request whose deadline fits. For parents of class 0, downstream calls whose own parent is unknown, the call is attributed to nothing: FromRetry is false although the parent is a retry, and the called server's budget counts the call as a first request, which also earns it further retries.

Fails on: TestCallsOfRetriesCountAsRetriesInEachClass/0, 'not true: parent.Retry'; classes 1 and 9 pass.

--- a/correlator/correlator_test.go
+++ b/correlator/correlator_test.go
@@ -1,6 +1,7 @@
 package correlator_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -86,3 +87,21 @@
 		now = now.Add(20 * time.Millisecond)
 	}
 }
+
+// TestCallsOfRetriesCountAsRetriesInEachClass has a retry make a call. A parent of class 0, a downstream call whose own
+// parent is unknown, is a retry like any other: its calls count as repeats at the service that is called.
+func TestCallsOfRetriesCountAsRetriesInEachClass(t *testing.T) {
+	for _, class := range []int{0, 1, 9} {
+		t.Run(strconv.Itoa(class), func(t *testing.T) {
+			is := is.New(t)
+			c := correlator.New()
+			now := time.Unix(1000, 0)
+			end := c.Begin(correlator.RunningRequest{Route: "orders", Class: class, Weight: 2, Retry: true}, now, now.Add(time.Second))
+			defer end()
+			parent := c.Attribute("stock", now, time.Second)
+			is.Equal(parent.Class, class)
+			is.Equal(parent.Weight, 2.0)
+			is.True(parent.Retry)
+		})
+	}
+}
