Correlator: calls of a retry of class 0 count as repeats

The search for the most frequent class began at the zero value, which has class 0 too, so that no request of class 0 ever replaced it. It begins at the first request found.

Evidence: TestCallsOfRetriesCountAsRetriesInEachClass fails before and passes with this; tests of correlator, filterer and retrier pass.

--- a/correlator/correlator.go
+++ b/correlator/correlator.go
@@ -129,8 +129,11 @@
 // likeliest returns a request of the class that most of the requests found have, with the
 // mean weight of that class.
 func likeliest(found []*RunningRequest) RunningRequest {
+	if len(found) == 0 {
+		return RunningRequest{}
+	}
 	var counts [catkinrun.ClassCount]int
-	best := RunningRequest{}
+	best := *found[0] // not the zero value, whose class 0 a found request may have
 	for _, r := range found {
 		counts[r.Class]++
 		if counts[r.Class] > counts[best.Class] {
