Filterer: test that Connection takes nothing from what the system reads; fails on the current code

The hop-by-hop headers are removed before the system's own are read, so that a caller's 'Connection: Authorization' takes its key from the request, and 'Connection: X-Deadline-Ms' its deadline. On a route that needs a key this costs the caller a 401. On an open route the request runs as a call of the host's server: without X-Tenant although a team holds its key (UNASKED), outside the rate of the team (QUOTA), and in the most urgent class. Without its deadline a request is handed to the server with the route's timeout (BUDGET).

--- a/filterer/forged_test.go
+++ b/filterer/forged_test.go
@@ -167,3 +167,22 @@
 		})
 	}
 }
+
+// TestConnectionTakesNothingFromTheSystem has callers list in Connection what the system reads for itself. The request must
+// be treated as without the list: the deadline and the key do not concern one connection, whatever a caller states.
+func TestConnectionTakesNothingFromTheSystem(t *testing.T) {
+	for _, path := range []string{"/read/1", "/open/1"} {
+		for _, name := range []string{"X-Deadline-Ms", "Authorization", "X-Request-Id"} {
+			onEachPath(t, path+" "+name, func(t *testing.T, p *rawPath) {
+				is := is.New(t)
+				status, r := p.exchange(t, "GET "+path+rawHead+"Connection: "+name+"\r\n\r\n")
+				is.Equal(status, http.StatusOK)
+				is.Equal(r.Header.Get("X-Tenant"), teamName)
+				timeLeft, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+				is.NoErr(err)
+				is.True(timeLeft <= 700)
+				is.Equal(len(r.Header["Authorization"]), 0)
+			})
+		}
+	}
+}
