Filterer: the system's headers are read before those that Connection lists are removed

What a caller lists in Connection cannot take the key, the deadline or the ID from its request any more. Other headers that it lists are removed as before.

Evidence: TestConnectionTakesNothingFromTheSystem fails before and passes with this; tests of filterer, platform and daemon pass.

--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -41,9 +41,9 @@
 // system's headers from them.
 func (g *Gateway) CallerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		metadata := g.deps.HeaderCodec.ExtractRequest(r.Header) // first, since Connection may list any header
 		c := g.newCall(r)
 		removeSystemHeaders(c.Header)
-		metadata := g.deps.HeaderCodec.ExtractRequest(c.Header)
 		c.Envelope.Request, c.CallerKey, c.TimeLeft = metadata.ID, metadata.CallerKey, min(metadata.TimeLeft, maxTimeLeft)
 		err := g.readBody(w, r, c)
 		if metadata.ID == "" {
