Broker: a voter's response states its host

A response from another host than the one asked is not a vote to replace an owner. Its assignment is still applied if it is later, which is true whoever sends it. Weighed: comparing the incarnation with the row's, which needs no new field, but loses the votes of restarted daemons whose rows the store does not take. A response without the host, of an earlier version, counts as before.

Evidence: TestProcessAnswersForItsOwnHostOnly fails before and passes with this; tests of broker and limiter pass.

--- a/broker/candidacy.go
+++ b/broker/candidacy.go
@@ -130,6 +130,9 @@
 				b.ApplyAssignment(*a.response.Assignment)
 				return 0
 			}
+			if answering := a.response.Host; answering != "" && answering != a.host {
+				continue // another host has the voter's address now
+			}
 			c.count(a.host, c.certain|a.response.Failed)
 		case <-ctx.Done():
 			return c.confirmed()
--- a/broker/granting.go
+++ b/broker/granting.go
@@ -29,7 +29,7 @@
 		response.Assignment = &assignment
 	}
 	if request.Candidate {
-		response.Failed = b.failedLocked()
+		response.Failed, response.Host = b.failedLocked(), b.self.Host
 		return response, nil
 	}
 	b.recordSupportLocked(request, now)
--- a/broker/message.go
+++ b/broker/message.go
@@ -39,6 +39,7 @@
 	Assignment  *Assignment   `cbor:"assignment,omitempty"` // if the requesting daemon has an older one
 	Handover    []Grant       `cbor:"handover,omitempty"`   // tokens left of the shards that the requesting daemon has taken over
 	Failed      ShardSet      `cbor:"failed,omitempty"`     // to a candidate: shards whose owner does not serve the responding daemon
+	Host        string        `cbor:"host,omitempty"`       // of the responding daemon, to a candidate; empty from an earlier version
 }
 
 // Grant is a number of tokens granted for one team.
