Broker: test that an owner's late row does not end it; fails on the current code

An owner counts as ended if its member row is missing or names another start, although it responds to this daemon's token requests with the start that the assignment names. The row of a restarted owner arrives later than its claim, since both are separate writes and changes of the members are collected for 150 ms; it stays old while the store takes no writes of that host alone. The first host by rank then replaces the owner without any wait, and no voter has to confirm it. It costs a change of the owner; no token is granted twice.

Fails on: 'row of the earlier start' and 'no row' claim all shards. The other four cases pass and guard the real ends.

--- a/broker/identity_test.go
+++ b/broker/identity_test.go
@@ -75,3 +75,39 @@
 		})
 	}
 }
+
+// TestRowOfAnEarlierStartDoesNotEndAnOwner has an owner's daemon start again and take its shards back. Its member row arrives later
+// than the assignment, or not at all while the store refuses its host. It responds, as the start that the assignment names.
+func TestRowOfAnEarlierStartDoesNotEndAnOwner(t *testing.T) {
+	owner := Owner{Host: "b", Peer: "10.0.0.2:1", Incarnation: "b-2"}
+	earlier := catkinrun.Member{Host: "b", Peer: owner.Peer, Incarnation: "b-1"}
+	present := catkinrun.Member{Host: "b", Peer: owner.Peer, Incarnation: "b-2"}
+	self := catkinrun.Member{Host: "a", Peer: "10.0.0.1:1", Incarnation: "a-1"}
+	ready := &TokenResponse{Incarnation: "b-2", Generation: 1, Ready: allShards}
+	cases := []struct {
+		name     string
+		rows     members
+		response *TokenResponse // nil if it does not respond
+		claimed  ShardSet
+	}{
+		{"row of the earlier start", members{self, earlier}, ready, 0},
+		{"no row", members{self}, ready, 0},
+		{"present row", members{self, present}, ready, 0},
+		{"row of the earlier start, no response", members{self, earlier}, nil, allShards},
+		{"another start responds", members{self, present}, &TokenResponse{Incarnation: "b-3", Generation: 1}, allShards},
+		{"leaving", members{self, present.WithLeaving()}, ready, allShards},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.NewFake()
+			b := make(addresses).start(t, c, self, test.rows, owner)
+			var err error
+			if test.response == nil {
+				err = context.DeadlineExceeded
+			}
+			b.RecordResponse(owner, test.response, err)
+			is.Equal(b.shardsToClaimLocked(test.rows), test.claimed)
+		})
+	}
+}
