Broker: an owner that responds has not ended, whatever its row says

The last response to a token request of this daemon, which names the start that answered, outweighs a row that is missing or names another start. A row that says that the owner is leaving counts as before. Cost: if an owner's process ends and its row names the next start before this daemon has sent another token request, the owner is replaced with the result of that request, at most 250 ms later for a voter.

--- a/broker/health.go
+++ b/broker/health.go
@@ -107,12 +107,20 @@
 	return failure
 }
 
-// hasEndedLocked reports whether an owner has certainly ended or is leaving.
+// hasEndedLocked reports whether an owner has certainly ended or is leaving. An owner that responds has not ended, even
+// if its row is missing or names another start: rows may be late.
 func (b *Broker) hasEndedLocked(members []catkinrun.Member, owner Owner) bool {
-	isMember := slices.ContainsFunc(members, func(m catkinrun.Member) bool {
-		return m.Host == owner.Host && m.Incarnation == owner.Incarnation && !m.Leaving
-	})
-	return !isMember || b.processEndedLocked(owner)
+	i := slices.IndexFunc(members, func(m catkinrun.Member) bool { return m.Host == owner.Host && m.Incarnation == owner.Incarnation })
+	if i < 0 && !b.respondsLocked(owner) {
+		return true
+	}
+	return i >= 0 && members[i].Leaving || b.processEndedLocked(owner)
+}
+
+// respondsLocked reports whether the last token request of this daemon to an owner got a response from it.
+func (b *Broker) respondsLocked(owner Owner) bool {
+	h, ok := b.health[owner.Host]
+	return ok && h.owner == owner && h.failingSince.IsZero()
 }
 
 // processEndedLocked reports whether a response, or a refused connection, showed that an owner's
