Locator, limiter: no local share before the members have been read

The number of members is 0 until the table has been read, directly or through another daemon, and a host that does not know the number has neither a local share nor its part of the eight requests that all hosts together may let through in advance: it used to take one of each team. Cost: a daemon that can read the members nowhere has only the tokens that owners grant to it. The metric catkinrun_members is 0 until then.

Evidence: TestOwnRowIsNotTheFleet fails before and passes with this; tests of locator, limiter, daemon, syncer, filterer, broker and commander pass.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -199,7 +199,7 @@
 func (l *Limiter) takeLocalLocked(b *bucket, team catkinrun.Team, count int, now, ceded time.Time) bool {
 	share := broker.LocalShare(count)
 	b.refillLocal(now, ceded, share*team.Rate, share*team.Burst)
-	return b.takeLocal(min(1, maxOverdraft/float64(max(1, count))))
+	return count > 0 && b.takeLocal(min(1, maxOverdraft/float64(count)))
 }
 
 // Serve exchanges token requests with all owners until ctx ends. It implements
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -31,6 +31,7 @@
 	rows     map[string]catkinrun.Row      // as in the store
 	held     map[string]catkinrun.Row      // rows of the former era that are used in place of those in the store
 	era      uint64                        // of the last complete listing
+	listed   bool                          // there was one
 	members  map[string]catkinrun.Member   // by host
 	serving  map[string][]catkinrun.Member // by service, members that accept new requests
 	leaving  map[string][]catkinrun.Member // by service, members that are leaving or whose server is draining
@@ -72,6 +73,7 @@
 		return // from before a restore
 	}
 	if complete {
+		l.listed = true
 		l.removeUnlistedLocked(page)
 	}
 	for _, row := range page.Rows {
@@ -219,10 +221,14 @@
 	return reports
 }
 
-// Count returns the number of members.
+// Count returns the number of members, 0 as long as the table has not been read: the rows that are known then, like this
+// host's own, do not tell how many there are.
 func (l *Locator) Count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.listed {
+		return 0
+	}
 	return len(l.members)
 }
 
