Broker: test that owners are not replaced before the members are read; fails on the current code

A daemon that has started and knows the assignment, from another daemon or from a claim that the store refused, and of the members its own row alone, takes each owner for gone and itself for the majority of all voters. It claims all shards at once from owners that serve the fleet. It grants no tokens itself, since its own requests are no votes before the listing: the fleet is without owners until then, or until others claim.

--- a/broker/identity_test.go
+++ b/broker/identity_test.go
@@ -111,3 +111,19 @@
 		})
 	}
 }
+
+// TestOwnersAreNotReplacedBeforeTheMembersAreRead has a daemon know the assignment and its own row alone. The owner is no member
+// by these rows, and the daemon itself is the majority of all voters.
+func TestOwnersAreNotReplacedBeforeTheMembersAreRead(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewFake()
+	rows := members{{Host: "a", Peer: "10.0.0.1:1", Incarnation: "a-1"}}
+	b := make(addresses).start(t, c, rows[0], rows, Owner{Host: "b", Peer: "10.0.0.2:1", Incarnation: "b-1"})
+	b.listed = false
+	c.Advance(time.Second)
+	is.Equal(b.shardsToClaimLocked(rows), ShardSet(0))
+	b.Apply(catkinrun.Page{Revision: 2}, true)
+	shards := b.shardsToClaimLocked(rows)
+	is.Equal(shards, allShards) // now it is certain that the owner has no row
+	is.Equal(b.confirmClaim(t.Context(), rows, shards), allShards)
+}
