Broker: no claims before the members have been read

A daemon claims shards only once it has listed the table, as it votes only then. Cost: the first claim of a fleet waits for the listing, which its claimer has by then if the store responds to it.

Evidence: TestOwnersAreNotReplacedBeforeTheMembersAreRead fails before and passes with this; tests of broker, limiter and daemon pass.

--- a/broker/election.go
+++ b/broker/election.go
@@ -68,9 +68,9 @@
 // shardsToClaimLocked returns the shards that this daemon should own instead of their present
 // owner. The other hosts replace an owner one after another in rendezvous order, without
 // ownerTimeout if it is leaving, its process has ended, or it is no longer a member. A
-// restarted daemon replaces its earlier start at once.
+// restarted daemon replaces its earlier start at once. Before the members have been read nobody is known to be gone.
 func (b *Broker) shardsToClaimLocked(members []catkinrun.Member) ShardSet {
-	if b.resigned || b.superseded {
+	if b.resigned || b.superseded || !b.listed {
 		return 0
 	}
 	if b.assignment.Generation == 0 {
