Filterer: the team of an envelope must hold its key in a newer configuration

On open routes and without teams as well: the request is refused as not run, and the response has the newer version, which the entry daemon then requests. Requests without a team are treated as before.

Evidence: TestNewerConfigurationChecksTheTeamOfTheEnvelope fails before and passes with this; tests of filterer and daemon pass.

--- a/filterer/verify.go
+++ b/filterer/verify.go
@@ -38,5 +38,8 @@
 	if !ok || !r.Route.HasTarget(c.Envelope.Service) {
 		return false
 	}
-	return r.Route.Open || !s.HasTeams() || s.HasKeyHash(c.Envelope.Team, c.Envelope.KeyHash)
+	if c.Envelope.Team != "" { // on open routes too, since the server receives the team
+		return s.HasKeyHash(c.Envelope.Team, c.Envelope.KeyHash)
+	}
+	return r.Route.Open || !s.HasTeams()
 }
