Daemon: net/http answers no request by itself

'OPTIONS *' reaches the handlers like any other request and gets 400 without an ID, or 404, since no route has that path.

Evidence: TestNoResponseBesideTheHandler fails before and passes with this; tests of daemon pass.

--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -60,6 +60,7 @@
 func (l *listener) newServer(handler http.Handler, limits connLimits) *http.Server {
 	return &http.Server{
 		Handler: handler, ConnState: l.countOpen, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
+		DisableGeneralOptionsHandler: true, // its response would look like a server's
 	}
 }
 
