Registrar: a candidate that deregisters is dropped, whichever server is recorded

A server that starts again under its ID within 2 s waits as a candidate for the place of its former start. Its deregistration names the ID of the recorded server and a later start, so that it was taken for that of the recorded one alone: once that one was unreachable, the candidate got requests although its end had been acknowledged.

--- a/registrar/order.go
+++ b/registrar/order.go
@@ -106,8 +106,12 @@
 	return slices.ContainsFunc(r.ended, func(e endedServer) bool { return e.id == s.ID && s.StartUnixMilli <= e.startUnixMilli })
 }
 
+// endLocked records that a server has deregistered; it is no longer a candidate.
 func (r *Registrar) endLocked(s catkinrun.Server) {
 	r.ended = appendBounded(r.ended, endedServer{id: s.ID, startUnixMilli: s.StartUnixMilli})
+	if r.candidate != nil && r.endedLocked(*r.candidate) {
+		r.candidate = nil
+	}
 }
 
 // endedUnknownLocked reports whether a server has deregistered without its start, which was not known.
@@ -129,9 +133,6 @@
 		}
 	}
 	r.endLocked(ended)
-	if r.candidate != nil && r.endedLocked(*r.candidate) {
-		r.candidate = nil
-	}
 }
 
 // appendBounded appends an entry, and drops the oldest one beyond maxEndedServers.
