Reloader: an announcement of another service has the settings read at once

Settings that change without a signal were noticed up to 0.4 s late. The refused announcement is the first sign of the change that a daemon gets. Requests that begin between the change and that announcement still wait for the next reading.

--- a/commander/daemon.go
+++ b/commander/daemon.go
@@ -49,7 +49,7 @@
 			}
 			running, stop := context.WithCancel(context.WithoutCancel(c.Context())) // a daemon that leaves follows its settings
 			defer stop()
-			go newReloader(file, raw, d.Reload, signals, system, journal.Logger()).run(running)
+			go newReloader(file, raw, d.Reload, signals, d.SettingsDoubted(), system, journal.Logger()).run(running)
 			return d.Serve(c.Context())
 		},
 	}
--- a/commander/reloader.go
+++ b/commander/reloader.go
@@ -31,6 +31,7 @@
 	file    string
 	apply   func(loader.Settings)
 	signals <-chan os.Signal
+	doubted <-chan struct{} // the settings may have changed
 	clock   catkinrun.Clock
 	log     *logrus.Logger
 
@@ -41,8 +42,8 @@
 
 // newReloader returns a reloader of a file that passes new settings to apply. Settings with the content inEffect are in
 // effect already.
-func newReloader(file string, inEffect []byte, apply func(loader.Settings), signals <-chan os.Signal, clock catkinrun.Clock, log *logrus.Logger) *reloader {
-	return &reloader{file: file, apply: apply, signals: signals, clock: clock, log: log, inEffect: inEffect}
+func newReloader(file string, inEffect []byte, apply func(loader.Settings), signals <-chan os.Signal, doubted <-chan struct{}, clock catkinrun.Clock, log *logrus.Logger) *reloader {
+	return &reloader{file: file, apply: apply, signals: signals, doubted: doubted, clock: clock, log: log, inEffect: inEffect}
 }
 
 // run follows the file until ctx ends.
@@ -55,6 +56,8 @@
 			r.reload(true)
 		case <-due:
 			r.reload(false)
+		case <-r.doubted:
+			r.reload(false)
 		case <-ctx.Done():
 			return
 		}
--- a/commander/reloader_test.go
+++ b/commander/reloader_test.go
@@ -62,6 +62,7 @@
 	file    string
 	service string // that was applied last
 	signals chan os.Signal
+	doubted chan struct{}
 	journal *journaler.Journal
 	out     bytes.Buffer
 	stop    context.CancelFunc
@@ -70,14 +71,14 @@
 func newReloaderHost(t *testing.T, file string) *reloaderHost {
 	is := is.New(t)
 	system := clock.System{}
-	h := &reloaderHost{file: file, service: "recipes", signals: make(chan os.Signal, 1)}
+	h := &reloaderHost{file: file, service: "recipes", signals: make(chan os.Signal, 1), doubted: make(chan struct{}, 1)}
 	h.journal = journaler.New(system, &h.out, logrus.InfoLevel)
 	atStart := []byte(completeSettings + h.service + "\n")
 	is.NoErr(os.WriteFile(file, atStart, 0o600))
 	apply := func(settings loader.Settings) { h.service = settings.Service }
 	ctx, stop := context.WithCancel(t.Context())
 	h.stop = stop
-	go newReloader(file, atStart, apply, h.signals, system, h.journal.Logger()).run(ctx)
+	go newReloader(file, atStart, apply, h.signals, h.doubted, system, h.journal.Logger()).run(ctx)
 	return h
 }
 
@@ -101,6 +102,8 @@
 		case h.signals <- syscall.SIGHUP:
 		default: // the runtime drops signals that find the channel full
 		}
+	case "doubt":
+		h.doubted <- struct{}{}
 	case "wait":
 		d, err := time.ParseDuration(words[1])
 		is.NoErr(err)
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -26,3 +26,6 @@
 		d.log.WithField("settings", fixed).Warn("daemon: settings take effect at the next start")
 	}
 }
+
+// SettingsDoubted receives a value once an announcement suggests that the settings have changed.
+func (d *Daemon) SettingsDoubted() <-chan struct{} { return d.registrar.Doubted() }
--- a/daemon/reload_test.go
+++ b/daemon/reload_test.go
@@ -49,6 +49,16 @@
 	case "settings":
 		h.lines.Reset()
 		h.daemon.Reload(h.changed(t, line.words))
+	case "expect-doubt":
+		got := "no"
+		select {
+		case <-h.daemon.SettingsDoubted():
+			got = "yes"
+		default:
+		}
+		if got != line.words[0] {
+			t.Fatalf("line %d: doubt %s, expected %s", line.number, got, line.words[0])
+		}
 	case "expect-level":
 		if got := h.daemon.log.GetLevel().String(); got != line.words[0] {
 			t.Fatalf("line %d: level %s, expected %s", line.number, got, line.words[0])
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -47,6 +47,7 @@
 	drainGrace time.Duration
 	changed    chan struct{}         // requests a write of the row
 	unchecked  chan catkinrun.Server // to be asked whether it is leaving
+	doubted    chan struct{}         // a server of another service than the settings' has announced itself
 
 	mu          sync.Mutex
 	service     string    // of this host by the settings
@@ -74,7 +75,7 @@
 func New(store catkinrun.Store, locator Locator, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member, service string, drainGrace time.Duration) *Registrar {
 	return &Registrar{
 		store: store, locator: locator, clock: clock, log: log, host: self.Host, self: self, service: service, drainGrace: drainGrace,
-		changed: make(chan struct{}, 1), unchecked: make(chan catkinrun.Server, 1), announcedAt: clock.Now(), serviceAt: clock.Now(),
+		changed: make(chan struct{}, 1), unchecked: make(chan catkinrun.Server, 1), doubted: make(chan struct{}, 1), announcedAt: clock.Now(), serviceAt: clock.Now(),
 	}
 }
 
@@ -116,6 +117,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.checkLocked(s); err != nil {
+		select {
+		case r.doubted <- struct{}{}:
+		default:
+		}
 		return nil, err
 	}
 	if !r.acceptsLocked(s) {
--- a/registrar/service.go
+++ b/registrar/service.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// Doubted receives a value once a server of another service has announced itself: the settings may have changed.
+func (r *Registrar) Doubted() <-chan struct{} { return r.doubted }
+
 // removeServerLocked records that no server is known. One that is leaving does not return, even if the settings
 // name its service again.
 func (r *Registrar) removeServerLocked(s catkinrun.Server) {
