--- a/registrar/service_test.go
+++ b/registrar/service_test.go
@@ -26,8 +26,10 @@
 		left := make(map[string]time.Time) // acknowledged ends and drains, by start
 		var revision catkinrun.Revision = 1000
 		servers := rapid.SampledFrom([]catkinrun.Server{
-			{ID: "i-1", Service: "a", Slots: 1, StartUnixMilli: 100}, {ID: "i-1", Service: "a", Slots: 1, StartUnixMilli: 300},
-			{ID: "i-2", Service: "b", Slots: 1, StartUnixMilli: 200}, {ID: "i-3", Service: "b", Slots: 1, StartUnixMilli: 400},
+			{ID: "i-1", Service: "a", Slots: 1, StartUnixMilli: 100},
+			{ID: "i-1", Service: "a", Slots: 1, StartUnixMilli: 300},
+			{ID: "i-2", Service: "b", Slots: 1, StartUnixMilli: 200},
+			{ID: "i-3", Service: "b", Slots: 1, StartUnixMilli: 400},
 			{ID: "i-1", Service: "b", Slots: 1, StartUnixMilli: 100},
 		})
 		sequences, ready, drained := make(map[string]uint64), make(map[string]uint64), make(map[string]bool)
