Daemon: a start waits for an address that another process uses

Cause: a daemon that leaves keeps its sockets until the end of the stop time; the next host's daemon exited at once.

Change: a start tries for the stop time, with one warning. The sockets that a leaving daemon closes last are opened first, since requests would wait at the others.

Ruled out: SO_REUSEPORT, which would divide the connections between both processes.

--- a/commander/daemon.go
+++ b/commander/daemon.go
@@ -43,7 +43,7 @@
 			journal := journaler.New(system, c.OutOrStdout(), level)
 			log.SetFlags(0)
 			log.SetOutput(journal.LibraryWriter())
-			d, err := daemon.New(settings, system, clock.Boot{}, journal)
+			d, err := daemon.New(c.Context(), settings, system, clock.Boot{}, journal)
 			if err != nil {
 				return err
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,13 +114,13 @@
 
 // New builds a daemon and opens its listeners. leaseClock measures the validity of tokens,
 // votes and ceded shares, which must not outlive a suspension of the host. New fails with
-// *ListenError.
-func New(settings loader.Settings, clock, leaseClock catkinrun.Clock, journal *journaler.Journal) (*Daemon, error) {
+// *ListenError, if an address is in use only after the stop time.
+func New(ctx context.Context, settings loader.Settings, clock, leaseClock catkinrun.Clock, journal *journaler.Journal) (*Daemon, error) {
 	d := &Daemon{settings: settings, incarnation: newIncarnation(), clock: clock, leaseClock: leaseClock, journal: journal, log: journal.Logger(), metrics: metrics.NewSet()}
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Memory) * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
 	d.build()
-	if err := d.listen(); err != nil {
+	if err := d.listen(ctx); err != nil {
 		return nil, err
 	}
 	return d, nil
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,8 @@
 	listenerIdleTimeout = 75 * time.Second
 	// maxHeaderBytes bounds the headers of a request if the operator does not.
 	maxHeaderBytes = 64 << 10
+	// bindInterval is the time between two attempts to open a socket whose address is in use.
+	bindInterval = 50 * time.Millisecond
 )
 
 // ListenError reports a listener that could not be opened.
@@ -106,20 +109,23 @@
 // String returns the name of the listener for the supervisor's events.
 func (l *listener) String() string { return l.name + " listener" }
 
-func (d *Daemon) listen() error {
+// listen opens the listeners. It fails with *ListenError.
+func (d *Daemon) listen(ctx context.Context) error {
+	freeBy := d.clock.Now().Add(time.Duration(d.settings.Times.Stop))
 	addresses := d.settings.Listen
+	// Requests would wait at the last two while the others are in use, which a leaving daemon closes later.
 	specs := []struct {
 		name, address string
 		handler       http.Handler
 	}{
-		{"peer", addresses.Peer, d.peerHandler()},
 		{"announce", addresses.Announce, platform.AnnouncementHandler(d.registrar)},
-		{"caller", addresses.Caller, d.countRunning(d.gateway.CallerHandler())},
 		{"ready", addresses.Ready, platform.ReadinessHandler(d.ready)},
 		{"operator", addresses.Operator, d.operatorHandler()},
+		{"peer", addresses.Peer, d.peerHandler()},
+		{"caller", addresses.Caller, d.countRunning(d.gateway.CallerHandler())},
 	}
 	for _, s := range specs {
-		socket, err := dialer.Listen(s.address)
+		socket, err := d.bind(ctx, s.address, freeBy)
 		if err != nil {
 			return &ListenError{Name: "listen." + s.name, Cause: err}
 		}
@@ -135,6 +141,23 @@
 	return nil
 }
 
+// bind opens a socket. If another process uses the address, which may be that of a daemon that is leaving, it tries again until
+// freeBy.
+func (d *Daemon) bind(ctx context.Context, address string, freeBy time.Time) (net.Listener, error) {
+	for waited := false; ; waited = true {
+		socket, err := dialer.Listen(address)
+		if !errors.Is(err, syscall.EADDRINUSE) || !d.clock.Now().Before(freeBy) {
+			return socket, err
+		}
+		if !waited {
+			d.log.WithField("address", address).Warn("daemon: another process uses an address, waiting for its end")
+		}
+		if d.clock.Wait(ctx, bindInterval) != nil {
+			return nil, err
+		}
+	}
+}
+
 // declaredLimits returns the operator's limits on what callers may send.
 func (d *Daemon) declaredLimits() catkinrun.Limits { return d.configurer.Snapshot().Limits() }
 
