Daemon: a leaving daemon gives its address to the next host

Its daemon had got SIGTERM after the server's end, its clients were busy, and 2 s later a host of another service had the same addresses: the former daemon served requests of the next host until 3 s after the signal, with the service of its own settings.

Change: a leaving daemon that gets announcements of another service while its own server has been silent for 2 s refuses new requests (503, not run) and closes all sockets; running requests still end.

Ruled out: ending each planned stop sooner; without announcements of another service nothing changes, and neither if the host's own server lives. Until the next host's server announces itself, requests from there still bear the former service; the platform gives no clients to a daemon that is not ready.

--- a/daemon/leave.go
+++ b/daemon/leave.go
@@ -37,32 +37,42 @@
 // that still arrive. Later it refuses new requests and accepts no new connections. It
 // closes no connection before a response, because a request may arrive on an idle
 // connection at the moment of closing.
+//
+// If another host uses the address already, requests from there must not be served as this one's, and its
+// daemon needs the sockets: new requests are refused at once and all sockets are closed.
 func (d *Daemon) leave(ctx context.Context) {
 	startedAt := d.clock.Now()
 	serve, end := stopTimes(time.Duration(d.settings.Times.Stop))
 	d.leaving.Store(true)
 	d.registrar.Leave()
 	d.log.WithField("running", d.running.Load()).Info("daemon: leaving")
-	d.waitUntil(ctx, startedAt.Add(serve))
+	d.waitUntil(ctx, startedAt.Add(serve), d.registrar.Displaced)
 	d.stopping.Store(true)
 	d.broker.Resign()
 	for _, name := range []string{"caller", "peer"} {
 		d.findListener(name).stopAccepting()
 	}
-	d.waitUntil(ctx, startedAt.Add(end))
+	d.waitUntil(ctx, startedAt.Add(end), d.registrar.Displaced)
+	if d.registrar.Displaced() {
+		d.log.Info("daemon: another host uses the address, closing all sockets")
+		for _, l := range d.listeners {
+			l.stopAccepting()
+		}
+		d.waitUntil(ctx, startedAt.Add(end), func() bool { return false })
+	}
 	if running := d.running.Load(); running > 0 {
 		d.log.WithField("running", running).Warn("daemon: requests were still running")
 	}
 }
 
-// waitUntil waits until end, or until no request has been running for quietWindow.
-func (d *Daemon) waitUntil(ctx context.Context, end time.Time) {
+// waitUntil waits until end, until no request has been running for quietWindow, or until done reports true.
+func (d *Daemon) waitUntil(ctx context.Context, end time.Time, done func() bool) {
 	busyAt := d.clock.Now()
 	for now := busyAt; now.Before(end); now = d.clock.Now() {
 		if d.running.Load() > 0 {
 			busyAt = now
 		}
-		if now.Sub(busyAt) > quietWindow || d.clock.Wait(ctx, runningPollInterval) != nil {
+		if done() || now.Sub(busyAt) > quietWindow || d.clock.Wait(ctx, runningPollInterval) != nil {
 			return
 		}
 	}
--- a/daemon/successor_test.go
+++ b/daemon/successor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,61 @@
 	return d
 }
 
+// openListeners returns the names of the listeners whose sockets are open.
+func openListeners(d *Daemon) string {
+	var names []string
+	for _, l := range d.listeners {
+		if !l.closed.Load() {
+			names = append(names, l.name)
+		}
+	}
+	return strings.Join(names, " ")
+}
+
+// TestLeavingDaemonGivesItsAddressToTheNextHost has a server of another service announce itself to a leaving daemon whose clients are
+// busy. The daemon once served the requests of the next host as those of its own, and kept the sockets from its daemon.
+func TestLeavingDaemonGivesItsAddressToTheNextHost(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		service string
+		own     time.Duration // after the stop signal, last announcement of the host's own server
+		open    string        // listeners 2.6 s after the stop signal
+		refuses bool
+	}{
+		{"no announcement", "", 0, "announce ready operator peer caller", false},
+		{"another service", "orders", 0, "", true},
+		{"another service, the own server lives", "orders", time.Second, "announce ready operator peer caller", false},
+		{"the same service", "recipes", 0, "announce ready operator peer caller", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := newBusyDaemon(t)
+				left := make(chan struct{})
+				announce := func(id, service string, start int64) {
+					_, _ = d.registrar.RecordAnnouncement(catkinrun.Server{ID: id, Service: service, Slots: 1, StartUnixMilli: start, Sequence: uint64(time.Now().UnixNano())})
+				}
+				announce("i-1", "recipes", 1)
+				go func() { d.leave(t.Context()); close(left) }()
+				time.Sleep(test.own)
+				announce("i-1", "recipes", 1)
+				time.Sleep(2500*time.Millisecond - test.own)
+				if test.service != "" {
+					announce("i-2", test.service, 2)
+				}
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(openListeners(d), test.open)
+				is.Equal(d.stopping.Load(), test.refuses)
+				d.running.Add(-1)
+				<-left
+				for _, l := range d.listeners {
+					_ = l.net.Close()
+				}
+			})
+		})
+	}
+}
+
 // TestStartWaitsForAnAddressInUse starts a daemon while another process still listens at one of its addresses. It once ended at
 // once, again and again.
 func TestStartWaitsForAnAddressInUse(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -52,6 +52,7 @@
 	mu          sync.Mutex
 	service     string    // of this host by the settings
 	serviceAt   time.Time // since when the settings name it
+	foreignAt   time.Time // last announcement of another service since then, zero for none
 	self        catkinrun.Member
 	announced   bool   // the server has announced itself to this incarnation of the daemon
 	down        bool   // a connection was refused, or reached another server, since the last announcement
@@ -117,6 +118,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.checkLocked(s); err != nil {
+		r.foreignAt = r.clock.Now()
 		select {
 		case r.doubted <- struct{}{}:
 		default:
--- a/registrar/service.go
+++ b/registrar/service.go
@@ -25,7 +25,7 @@
 		return
 	}
 	r.log.WithFields(logrus.Fields{"service": service, "former": r.service}).Info("registrar: the settings name another service")
-	r.service, r.serviceAt = service, r.clock.Now()
+	r.service, r.serviceAt, r.foreignAt = service, r.clock.Now(), time.Time{}
 	r.rival, r.candidate = rival{}, nil
 	if previous := r.self.Server; previous != nil {
 		r.removeServerLocked(*previous)
@@ -35,6 +35,14 @@
 // Doubted receives a value once a server of another service has announced itself: the settings may have changed.
 func (r *Registrar) Doubted() <-chan struct{} { return r.doubted }
 
+// Displaced reports whether a server of another service announces itself here and the host's own has fallen silent. A host
+// of that service uses the address now, if this daemon is leaving.
+func (r *Registrar) Displaced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.foreignAt.IsZero() && r.clock.Now().Sub(r.announcedAt) >= replaceTimeout
+}
+
 // removeServerLocked records that no server is known. One that is leaving does not return, even if the settings
 // name its service again.
 func (r *Registrar) removeServerLocked(s catkinrun.Server) {
