Relayer: one watcher for each of several zones, and the next zone's in turn

Cause: two watchers a zone, so that one of them may be cut off from the store without a sign. The second one need not be in the same zone.

Change: a zone has one watcher and one more for 300 hosts. The other daemons ask it and the first watcher of the next zone in turn, by the names of the zones; a single zone has two as before.

Evidence: TestEachOfSeveralZonesHasOneWatcher failed before; TestFailedWatcherDelaysNoChange plays one, two and three zones now, and a store that falls silent to a watcher. Ruled out: a longer wait (the sum is 2.6 s of 3), versions in the token messages (more state, and a silence of the whole store needs someone's short watch in any case).

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -1,8 +1,8 @@
 // Package relayer lets a few daemons of each availability zone, the watchers, watch the
 // platform's store for the others, so that the calls to the store do not grow with the fleet.
 //
-// A daemon that is not a watcher asks the watchers of its zone in turn for the changes of a
-// table. A watcher that is cut off from the store therefore delays a change by one turn at
+// A daemon that is not a watcher asks the watchers of its zone and one of another zone in turn for the
+// changes of a table. A watcher that is cut off from the store therefore delays a change by one turn at
 // most. If a watcher does not answer, or its own calls to the store fail, the daemon watches
 // the store itself for once. A watcher that has listed the table since the requested revision, because the
 // history was dropped or the store restored, passes on all rows, so that not every daemon lists it.
@@ -24,9 +24,10 @@
 const Procedure = "/catkinrun.peer/watch"
 
 const (
-	// minWatchers is the number of watchers of a zone, and hostsPerWatcher the number of hosts
-	// of the zone for each further one.
-	minWatchers     = 2
+	// minTurns is the number of watchers that a daemon asks in turn at least, so that one of them may
+	// be cut off from the store.
+	minTurns = 2
+	// hostsPerWatcher is the number of hosts of a zone for each further watcher.
 	hostsPerWatcher = 300
 	// turnTime is how long a watcher holds a request without changes. A configuration must be
 	// in force two seconds after it is written, even if one watcher is cut off from the store.
@@ -152,8 +153,8 @@
 // nextWatcher returns the watcher whose turn it is; ok is false if this daemon has to watch
 // the store itself.
 func (r *Relayer) nextWatcher(name string) (watcher catkinrun.Member, ok bool) {
-	watchers := watchersOf(r.members.Members(), r.self.Zone)
-	if len(watchers) == 0 || slices.ContainsFunc(watchers, func(m catkinrun.Member) bool { return m.Host == r.self.Host }) {
+	watchers, isWatcher := watchersFor(r.self, r.members.Members())
+	if len(watchers) == 0 || isWatcher {
 		return catkinrun.Member{}, false
 	}
 	r.mu.Lock()
@@ -163,24 +164,6 @@
 	return watchers[t.turns%len(watchers)], true
 }
 
-// watchersOf returns the watchers of an availability zone.
-func watchersOf(members []catkinrun.Member, zone string) []catkinrun.Member {
-	byHost := make(map[string]catkinrun.Member)
-	var hosts []string
-	for _, m := range members {
-		if m.Zone == zone && !m.Leaving {
-			byHost[m.Host] = m
-			hosts = append(hosts, m.Host)
-		}
-	}
-	count := min(len(hosts), minWatchers+len(hosts)/hostsPerWatcher)
-	watchers := make([]catkinrun.Member, 0, count)
-	for _, host := range catkinrun.RendezvousOrder("watchers/"+zone, hosts)[:count] {
-		watchers = append(watchers, byHost[host])
-	}
-	return watchers
-}
-
 func (r *Relayer) askWatcher(ctx context.Context, watcher catkinrun.Member, name string, after catkinrun.Revision) (catkinrun.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -26,6 +26,7 @@
 	calls    int
 	waits    map[string]time.Duration // by host: of the last watch
 	down     map[string]bool          // by host: calls fail
+	silent   map[string]bool          // by host: responses to watches are lost
 }
 
 func (s *store) write() {
@@ -42,6 +43,12 @@
 	s.down[host] = true
 }
 
+func (s *store) fallSilent(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[host] = true
+}
+
 func (s *store) callCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -51,7 +58,14 @@
 func (s *store) fails(host string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.down[host]
+	return s.down[host] || s.silent[host]
+}
+
+// loses reports whether the responses to a host's watches are lost.
+func (s *store) loses(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[host]
 }
 
 // view is the store as one host reaches it.
@@ -83,6 +97,11 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
+		if v.loses(v.host) {
+			<-ctx.Done()
+			time.Sleep(storeTimeout)
+			return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch"}
+		}
 		page, changed, err := v.page()
 		if err != nil || page.Revision > after {
 			return page, err
@@ -95,7 +114,10 @@
 	}
 }
 
-// fleet is a number of daemons of one zone that follow the table.
+// storeTimeout is how long a daemon waits for a response that is due.
+const storeTimeout = 1500 * time.Millisecond
+
+// fleet is a number of daemons that follow the table.
 type fleet struct {
 	store   *store
 	members []catkinrun.Member
@@ -139,12 +161,13 @@
 	}
 }
 
-func startFleet(t *testing.T, count int) *fleet {
-	f := &fleet{store: &store{revision: 1, changed: make(chan struct{}), waits: make(map[string]time.Duration), down: make(map[string]bool)}, daemons: make(map[string]*daemon)}
+// startFleet starts daemons of zones in turn.
+func startFleet(t *testing.T, count int, zones ...string) *fleet {
+	f := &fleet{store: &store{revision: 1, changed: make(chan struct{}), waits: make(map[string]time.Duration), down: make(map[string]bool), silent: make(map[string]bool)}, daemons: make(map[string]*daemon)}
 	log := discardLog()
 	ctx, cancel := context.WithCancel(t.Context())
 	for i := range count {
-		m := catkinrun.Member{Host: fmt.Sprintf("host-%02d", i), Zone: "z"}
+		m := catkinrun.Member{Host: fmt.Sprintf("host-%02d", i), Zone: zones[i%len(zones)]}
 		f.members = append(f.members, m)
 		d := &daemon{fleet: f}
 		d.relayer = relayer.New(view{f.store, m.Host}, f, f.ask, log, m)
@@ -153,8 +176,8 @@
 	for _, d := range f.daemons {
 		go d.run(ctx)
 	}
-	t.Cleanup(func() { cancel(); time.Sleep(time.Second) }) // sleeping daemons end
-	time.Sleep(30 * time.Second)                            // the watches with which all daemons began have ended
+	t.Cleanup(func() { cancel(); time.Sleep(2 * storeTimeout) }) // sleeping daemons end
+	time.Sleep(30 * time.Second)                                 // the watches with which all daemons began have ended
 	return f
 }
 
@@ -176,7 +199,7 @@
 func TestWatchInsteadOfAWatcherIsShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := startFleet(t, 6)
+		f := startFleet(t, 6, "z")
 		for _, host := range f.watchers() {
 			f.store.fail(host)
 		}
@@ -220,7 +243,7 @@
 func TestChangesReachAllThroughFewWatchers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := startFleet(t, 20)
+		f := startFleet(t, 20, "z")
 		is.Equal(len(f.watchers()), 2)
 		before := f.store.callCount()
 		for range 4 {
@@ -230,30 +253,49 @@
 	})
 }
 
-// TestFailedWatcherDelaysNoChange freezes a watcher, and cuts one off from the store, which
+// TestEachOfSeveralZonesHasOneWatcher counts the calls to the store while changes are made.
+func TestEachOfSeveralZonesHasOneWatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 20, "a", "b", "c", "d", "e")
+		is.Equal(len(f.watchers()), 5)
+		before := f.store.callCount()
+		for range 4 {
+			is.True(f.slowest(t) < 100*time.Millisecond)
+		}
+		is.True(f.store.callCount()-before <= 25) // one for each watcher and change
+	})
+}
+
+// TestFailedWatcherDelaysNoChange freezes watchers, and cuts one off from the store, which
 // notices it late.
 func TestFailedWatcherDelaysNoChange(t *testing.T) {
 	const inForce = 2 * time.Second
-	for _, failure := range []string{"frozen", "store answers errors", "all watchers frozen"} {
-		t.Run(failure, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := startFleet(t, 20)
-				watchers := f.watchers()
-				switch failure {
-				case "frozen":
-					f.daemons[watchers[0]].frozen.Store(true)
-				case "store answers errors":
-					f.store.fail(watchers[0])
-				default:
-					f.daemons[watchers[0]].frozen.Store(true)
-					f.daemons[watchers[1]].frozen.Store(true)
-				}
-				for range 3 {
-					is.True(f.slowest(t) < inForce)
-				}
+	for _, zones := range [][]string{{"z"}, {"a", "b"}, {"a", "b", "c"}} {
+		for _, failure := range []string{"frozen", "store answers errors", "store is silent", "all watchers frozen"} {
+			t.Run(fmt.Sprint(len(zones), " zones, ", failure), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := startFleet(t, 20, zones...)
+					watchers := f.watchers()
+					switch failure {
+					case "frozen":
+						f.daemons[watchers[0]].frozen.Store(true)
+					case "store answers errors":
+						f.store.fail(watchers[0])
+					case "store is silent":
+						f.store.fallSilent(watchers[0])
+					default:
+						for _, host := range watchers {
+							f.daemons[host].frozen.Store(true)
+						}
+					}
+					for range 3 {
+						is.True(f.slowest(t) < inForce)
+					}
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -263,7 +305,7 @@
 func TestWatcherWithoutOldChangesPassesOnAllRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := startFleet(t, 3)
+		f := startFleet(t, 3, "z")
 		watcher := f.daemons[f.watchers()[0]]
 		response, err := watcher.relayer.Handle(t.Context(), &relayer.Request{Table: tableName, After: 0})
 		is.NoErr(err)
@@ -284,7 +326,7 @@
 func TestTableIsReadThroughAnotherDaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := startFleet(t, 4)
+		f := startFleet(t, 4, "z")
 		f.store.write()
 		for _, host := range []string{f.members[0].Host, f.members[1].Host} {
 			f.store.fail(host)
