Registrar: an announcement of another service long before the stop displaces nobody

What callers would see: after one stray announcement of another service, each later planned stop refuses new requests at once, in place of serving them for up to three seconds, while the platform still sends callers.

Cause: the last announcement of another service was remembered for ever; found by reading.

Change: it counts for 2 s, and only if it came after the last one of the host's own server.

Evidence: the case 'another service, some time before' of TestLeavingDaemonGivesItsAddressToTheNextHost fails without this.

--- a/daemon/successor_test.go
+++ b/daemon/successor_test.go
@@ -48,15 +48,17 @@
 func TestLeavingDaemonGivesItsAddressToTheNextHost(t *testing.T) {
 	for _, test := range []struct {
 		name    string
-		service string
+		former  string        // service of an announcement some time before the stop signal
+		service string        // of an announcement 2.5 s after it
 		own     time.Duration // after the stop signal, last announcement of the host's own server
 		open    string        // listeners 2.6 s after the stop signal
 		refuses bool
 	}{
-		{"no announcement", "", 0, "announce ready operator peer caller", false},
-		{"another service", "orders", 0, "", true},
-		{"another service, the own server lives", "orders", time.Second, "announce ready operator peer caller", false},
-		{"the same service", "recipes", 0, "announce ready operator peer caller", false},
+		{"no announcement", "", "", 0, "announce ready operator peer caller", false},
+		{"another service", "", "orders", 0, "", true},
+		{"another service, the own server lives", "", "orders", time.Second, "announce ready operator peer caller", false},
+		{"the same service", "", "recipes", 0, "announce ready operator peer caller", false},
+		{"another service, some time before", "orders", "", 0, "announce ready operator peer caller", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -67,9 +69,16 @@
 					_, _ = d.registrar.RecordAnnouncement(catkinrun.Server{ID: id, Service: service, Slots: 1, StartUnixMilli: start, Sequence: uint64(time.Now().UnixNano())})
 				}
 				announce("i-1", "recipes", 1)
+				if test.former != "" {
+					time.Sleep(time.Second)
+					announce("i-2", test.former, 2)
+				}
+				time.Sleep(5 * time.Second)
 				go func() { d.leave(t.Context()); close(left) }()
 				time.Sleep(test.own)
-				announce("i-1", "recipes", 1)
+				if test.own > 0 {
+					announce("i-1", "recipes", 1)
+				}
 				time.Sleep(2500*time.Millisecond - test.own)
 				if test.service != "" {
 					announce("i-2", test.service, 2)
--- a/registrar/service.go
+++ b/registrar/service.go
@@ -40,7 +40,8 @@
 func (r *Registrar) Displaced() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.foreignAt.IsZero() && r.clock.Now().Sub(r.announcedAt) >= replaceTimeout
+	now := r.clock.Now()
+	return r.foreignAt.After(r.announcedAt) && now.Sub(r.announcedAt) >= replaceTimeout && now.Sub(r.foreignAt) < replaceTimeout
 }
 
 // removeServerLocked records that no server is known. One that is leaving does not return, even if the settings
