Stand-in, demo: servers announce their availability zone and the version of their software

What users saw: make demo fails, with 'no-server' for every request: 0 of 4 servers are listed.

Ruled out: the service of the settings, which is that of the servers in each host of the demo. No daemon code changes.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -43,10 +43,10 @@
   pids+=($!)
 }
 
-start_server() { # SERVICE IP [FLAG ...]
-  local service=$1 ip=$2
-  shift 2
-  "$workdir/catkinrun-standin" server --id "server-$ip" --service "$service" --listen "$ip:7005" --daemon "http://$ip:7001" \
+start_server() { # SERVICE ZONE IP [FLAG ...]
+  local service=$1 zone=$2 ip=$3
+  shift 3
+  "$workdir/catkinrun-standin" server --id "server-$ip" --service "$service" --zone "$zone" --listen "$ip:7005" --daemon "http://$ip:7001" \
     --control "http://$ip:7002" --domain shop.example --slots 50 --work 5ms "$@" &
   pids+=($!)
 }
@@ -65,10 +65,10 @@
 for host in bakery-1 bakery-2 bakery-3; do start_daemon "$host"; done
 start_daemon bakery-4
 stopped_daemon=$!
-start_server recipes 127.0.1.1
-start_server recipes 127.0.1.2
-start_server orders 127.0.1.3 --call '/orders/=GET /stock/'
-start_server orders 127.0.1.4 --call '/orders/=GET /stock/'
+start_server recipes zone-a 127.0.1.1
+start_server recipes zone-b 127.0.1.2
+start_server orders zone-c 127.0.1.3 --call '/orders/=GET /stock/'
+start_server orders zone-a 127.0.1.4 --call '/orders/=GET /stock/'
 
 for _ in $(seq 1 50); do
   joined=$("$workdir/catkinrun" status 2>/dev/null | grep -c 'server-')
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -28,6 +28,7 @@
 	ID              string // of this start of the server
 	Service         string
 	Address         string // IP and port to listen on
+	Zone            string // availability zone of its host
 	Daemon          string // URL of the caller listener of the daemon beside it
 	Control         string // URL of that daemon's announcement listener
 	Domain          string // Host header of downstream calls
@@ -42,6 +43,9 @@
 // coldFactor multiplies the service time during a cold start.
 const coldFactor = 5
 
+// softwareVersion is the version of the server's software in its announcements.
+const softwareVersion = "v1"
+
 // announceInterval is the time between announcements.
 const announceInterval = 500 * time.Millisecond
 
@@ -111,7 +115,7 @@
 // Serve announces the server until ctx ends. It implements suture.Service.
 func (b *Backend) Serve(ctx context.Context) error {
 	for {
-		b.announce(ctx)
+		b.Announce(ctx)
 		if err := b.clock.Wait(ctx, announceInterval); err != nil {
 			return err
 		}
@@ -122,6 +126,8 @@
 type heartbeat struct {
 	Service        string `json:"service"`
 	Address        string `json:"address"`
+	Zone           string `json:"zone"`
+	Version        string `json:"version"`
 	Capacity       int    `json:"capacity"`
 	State          string `json:"state"`
 	ColdLeft       string `json:"cold_left"`
@@ -129,14 +135,15 @@
 	StartUnixMilli int64  `json:"born"`
 }
 
-func (b *Backend) announce(ctx context.Context) {
+// Announce sends one announcement. The next one tells what a lost one did.
+func (b *Backend) Announce(ctx context.Context) {
 	state := "ready"
 	if b.draining.Load() {
 		state = "draining"
 	}
 	coldLeft := max(0, b.settings.ColdStart-b.clock.Now().Sub(b.startedAt))
 	body, err := json.Marshal(heartbeat{
-		Service: b.settings.Service, Address: b.settings.Address, Capacity: b.settings.Slots, State: state,
+		Service: b.settings.Service, Address: b.settings.Address, Zone: b.settings.Zone, Version: softwareVersion, Capacity: b.settings.Slots, State: state,
 		ColdLeft: fmt.Sprintf("%dms", coldLeft.Milliseconds()), Sequence: b.sequence.Add(1), StartUnixMilli: b.startedAt.UnixMilli(),
 	})
 	if err != nil {
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -100,6 +100,7 @@
 		},
 	}
 	flags := command.Flags()
+	flags.StringVar(&settings.Zone, "zone", "", "availability zone of the host")
 	flags.StringVar(&settings.Service, "service", "", "name of the service")
 	flags.StringVar(&settings.Address, "listen", "", "IP:port")
 	flags.StringVar(&settings.ID, "id", "", "instance name, unique to each start of the server")
