Dialer: a reset that a write has reported is no orderly end for reads

What callers saw: a server answered a long upload at once with a signed 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete response.

Cause: two goroutines of net/http use one connection, one writes the request, one reads the response. The operating system reports a reset once, to whichever asks first. If that is the write, reads see the rest of the data and then an orderly end (io.EOF), until the writer has closed the connection. A response without a length has no other sign of its end. The same holds for other failures, such as TCP_USER_TIMEOUT in a cut.

Change: dialer.Conn remembers a failure that a write has reported, and a read that sees the end returns it. A write that is still running may have taken the report already: the read waits for it, and interrupts it if it waits for the other end. A broken pipe is no such failure: the system reports it after an orderly end, whose bytes are all there, or after a reset that it has reported already. So a response that ends in an orderly way under an upload stays complete. All responses are read through this connection: those of servers, also to health checks, of other daemons and of the store.

Held already: resets of requests that were written a moment before, and of requests without a body, which only the read is told of. What becomes of the request is as for any truncated response: 502 or a closed connection, outcome unknown.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxResponseHeaderBytes bounds the head of a response, interim responses included. A server
@@ -16,13 +20,16 @@
 const maxResponseHeaderBytes = 64 << 10
 
 // Conn is a connection that counts the bytes written and can be sealed, after which
-// writes fail.
+// writes fail. Its reads end in io.EOF only if the other end has ended the stream.
 type Conn struct {
 	net.Conn
 
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+
+	writing sync.Mutex // held during a write
+	failure error      // of the connection, as a write has reported it; guarded by writing
 }
 
 // SealedError reports a write on a connection that was sealed because its request had
@@ -40,7 +47,47 @@
 	}
 	c.written += int64(len(p)) // counted before any of them may be sent
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.failure == nil && isFailure(err) {
+		c.failure = err
+	}
+	return n, err
+}
+
+// Read reads into p. The operating system reports the failure of a connection, such as a reset, only once. If a
+// write was told of it, the system lets reads see an orderly end; Read then fails with the error of that write.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		if failure := c.writeFailure(); failure != nil {
+			err = failure
+		}
+	}
+	return n, err
+}
+
+// writeFailure returns the failure of the connection that a write has reported, nil for none. A running write may
+// have been told of one already. It is waited for, and interrupted if it waits for the other end, which may read
+// nothing after the end of its stream.
+func (c *Conn) writeFailure() error {
+	if !c.writing.TryLock() {
+		_ = c.SetWriteDeadline(pastDeadline) // fails on a connection that is closed already, whose writes end by themselves
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	return c.failure
+}
+
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+// isFailure reports whether a write error is a failure of the connection. A broken pipe is none: it follows the
+// orderly end of the other end's stream, or a failure that was already reported.
+func isFailure(err error) bool {
+	var code syscall.Errno
+	return errors.As(err, &code) && code != syscall.EPIPE
 }
 
 func (c *Conn) offset() int64 {
--- a/filterer/forged_test.go
+++ b/filterer/forged_test.go
@@ -28,11 +28,17 @@
 
 func newRawPath(t *testing.T, twoHosts bool) *rawPath {
 	p := &rawPath{seen: make(chan *http.Request, 1)}
-	address := serveRaw(t, func(r *http.Request) string {
+	p.caller = startPath(t, serveRaw(t, func(r *http.Request) string {
 		_, _ = io.Copy(io.Discard, r.Body) // the trailers follow it
 		p.seen <- r
 		return formatResponse(r.Header.Get("X-Request-Id"), "200 OK", signatureHeader, "done")
-	})
+	}), twoHosts)
+	return p
+}
+
+// startPath starts the daemons between a caller and the server at address: one, or the entry daemon and the one beside
+// the server. It returns the address of the entry daemon's caller listener.
+func startPath(t *testing.T, address string, twoHosts bool) (caller string) {
 	hosts := locator.New(logrus.New())
 	entry := newRawGateway(t, "h", address, hosts)
 	if twoHosts {
@@ -48,8 +54,7 @@
 	}
 	callers := httptest.NewServer(entry.CallerHandler())
 	t.Cleanup(callers.Close)
-	p.caller = callers.Listener.Addr().String()
-	return p
+	return callers.Listener.Addr().String()
 }
 
 // newRawGateway returns the gateway of a daemon. The server has announced itself to that of host h.
