Filterer: a broken response to a caller of HTTP/1.0 ends with a reset

What callers saw: a caller that speaks HTTP/1.0 got a part of a long response, which its server had sent in chunks or without a length and then broken off, as a complete response.

Cause: relay closes the connection of a response that breaks off. That is enough where chunks or a length show that the rest is missing. HTTP/1.0 has no chunks: a streamed response without a length ends with the connection, and an orderly end of the connection is a complete response.

Change: for HTTP/1.0 relay resets the connection in place of closing it. Other connections are closed as before, since a reset may destroy complete responses to pipelined requests that the caller has not read yet.

Evidence: TestBrokenStreamIsIncompleteForEveryCaller failed before in chunks with HTTP/1.0, by the server's own daemon and by another; the cases with a length, and all of HTTP/1.1, held already.

--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -59,7 +60,7 @@
 			g.refuseCaller(w, c, asRefusal(err))
 			return
 		}
-		g.relay(w, CallerListener, c)
+		g.relay(w, r, CallerListener, c)
 	})
 }
 
@@ -89,7 +90,7 @@
 			return
 		}
 		setResponseHeaders(w.Header(), c.Response, c.Envelope.Request)
-		g.relay(w, PeerListener, c)
+		g.relay(w, r, PeerListener, c)
 	})
 }
 
@@ -156,9 +157,9 @@
 	writeRefusal(w, &final, c.Envelope.Request)
 }
 
-// relay writes the response. If the response breaks off, relay closes the connection, so
+// relay writes the response to r. If the response breaks off, relay closes the connection, so
 // that the reader never takes a truncated response for a complete one.
-func (g *Gateway) relay(w http.ResponseWriter, listener Listener, c *catkinrun.Call) {
+func (g *Gateway) relay(w http.ResponseWriter, r *http.Request, listener Listener, c *catkinrun.Call) {
 	response := c.Response
 	h := w.Header()
 	RemoveHopByHopHeaders(response.Header)
@@ -182,7 +183,24 @@
 	_ = response.Stream.Close() // the unread rest is discarded
 	if err != nil {
 		g.count(listener, "cut", g.since(c))
+		if !r.ProtoAtLeast(1, 1) {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	g.count(listener, "answered", g.since(c))
 }
+
+// reset resets the connection of a response. HTTP/1.0 has no chunks: a response without a length ends with the
+// connection, and is complete if that ends in an orderly way. Where the protocol shows the end otherwise, an orderly
+// end is better, since a reset may destroy earlier responses that the reader has not read.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is of another kind, or closed already
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // makes Close reset the connection; fails only on a closed one
+	}
+	_ = conn.Close() // nothing more is sent
+}
