Dialer: a status code outside 100 to 599 is no response

What callers saw: a server answered with a signed head whose status was 000. At the server's own daemon the caller's connection ended without any answer; through another daemon it got 502. A status of 600 or more was passed on as the server's failure. Unseen by callers: each 000 before a body of over 64 KB cost a slot of the server for ever. With 8 slots, the daemon refused further requests with 503.

Cause: net/http accepts any three characters that strconv.Atoi reads as a number of at least 0, also 000, 099, 999, +20 and -00, and nothing checked the code. A code below 300 with a signature passed as a success until relay called WriteHeader, which panics below 100: net/http printed 'panic serving: invalid WriteHeader code 0' to standard error and closed the connection, and a streamed body was never closed, which would have released the slot.

Change: dialer.Transport returns a transport that checks heads and fails with *InvalidResponseError, and closes the connection, on which anything may follow. The range is that of RFC 9110, section 15. Everything that reads responses goes through it: the exchanger to servers and to other daemons, messages between daemons, health checks, and the client of the store. Such a response is treated as one that is not in HTTP: 502 with an unknown outcome, not sent again unless the route is idempotent, counted as a failure of the server, nothing in its headers believed, the slot released.

Held already: codes that have other than three characters, or letters. TestUnusualResponsesAreResponses keeps what is allowed.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -110,9 +110,9 @@
 
 // Transport returns an HTTP transport whose connections are of type *Conn. It keeps up
 // to maxIdleConns idle connections per address, each for at most idleTimeout.
-func Transport(dialTimeout, idleTimeout time.Duration, maxIdleConns int) *http.Transport {
+func Transport(dialTimeout, idleTimeout time.Duration, maxIdleConns int) *CheckedTransport {
 	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: keepAliveConfig()}
-	return &http.Transport{
+	return &CheckedTransport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := d.DialContext(ctx, network, address)
 			if err != nil {
@@ -125,7 +125,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 // Tracker tracks the connection of one request.
--- /dev/null
+++ b/dialer/transport.go
@@ -0,0 +1,54 @@
+package dialer
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// The range of status codes in HTTP (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// InvalidResponseError reports bytes that net/http takes for the head of a response and that HTTP does not allow.
+type InvalidResponseError struct {
+	Reason string
+}
+
+func (e *InvalidResponseError) Error() string { return "invalid response: " + e.Reason }
+
+// CheckedTransport is a transport that fails for invalid responses. What follows the head of one may be anything, so
+// it closes the connection.
+type CheckedTransport struct {
+	*http.Transport
+}
+
+// RoundTrip implements http.RoundTripper. For an invalid response it fails with *InvalidResponseError.
+func (t *CheckedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, _, err := t.Send(request)
+	return response, err
+}
+
+// Send is RoundTrip. It also returns the tracker of the request's connection.
+func (t *CheckedTransport) Send(request *http.Request) (*http.Response, *Tracker, error) {
+	tracker := &Tracker{}
+	response, err := t.Transport.RoundTrip(request.WithContext(tracker.Trace(request.Context())))
+	if err != nil {
+		return nil, tracker, err
+	}
+	if err := check(response); err != nil {
+		_ = response.Body.Close() // it is not used
+		tracker.Close()           // also if the transport keeps it, as it does after a response without a body
+		return nil, tracker, err
+	}
+	return response, tracker, nil
+}
+
+// check returns an *InvalidResponseError for an invalid head.
+func check(response *http.Response) error {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return &InvalidResponseError{Reason: fmt.Sprintf("status code %03d", response.StatusCode)}
+	}
+	return nil
+}
--- /dev/null
+++ b/dialer/transport_test.go
@@ -0,0 +1,115 @@
+package dialer_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/catkinrun/catkinrun/dialer"
+)
+
+// rawServer responds to each request with the same bytes, on connections that stay open.
+type rawServer struct {
+	socket   net.Listener
+	response string
+	conns    atomic.Int64 // connections that were opened
+}
+
+func startRaw(t *testing.T, response string) *rawServer {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	s := &rawServer{socket: socket, response: response}
+	go s.run()
+	return s
+}
+
+func (s *rawServer) run() {
+	for {
+		conn, err := s.socket.Accept()
+		if err != nil {
+			return
+		}
+		s.conns.Add(1)
+		c := &rawConn{conn: conn, response: s.response}
+		go c.run()
+	}
+}
+
+type rawConn struct {
+	conn     net.Conn
+	response string
+}
+
+func (c *rawConn) run() {
+	defer func() { _ = c.conn.Close() }()
+	reader := bufio.NewReader(c.conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c.conn, c.response); err != nil {
+			return
+		}
+	}
+}
+
+// TestInvalidResponsesFail has a server send responses that net/http accepts and HTTP does not allow. Nothing that
+// follows one on its connection may be read.
+func TestInvalidResponsesFail(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":          "HTTP/1.1 000 OK\r\n",
+		"status 099":          "HTTP/1.1 099 OK\r\n",
+		"status 600":          "HTTP/1.1 600 OK\r\n",
+		"status with a sign":  "HTTP/1.1 +20 OK\r\n",
+		"status with a minus": "HTTP/1.1 -00 OK\r\n",
+	} {
+		for _, framing := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\ndone"} {
+			t.Run(name+strings.ReplaceAll(framing, "\r\n", " "), func(t *testing.T) {
+				is := is.New(t)
+				server := startRaw(t, head+framing)
+				client := &http.Client{Transport: dialer.Transport(time.Second, time.Minute, 1)}
+				for sent := range 3 {
+					_, err := client.Get("http://" + server.socket.Addr().String())
+					var invalid *dialer.InvalidResponseError
+					is.True(errors.As(err, &invalid))
+					is.Equal(server.conns.Load(), int64(sent+1))
+				}
+			})
+		}
+	}
+}
+
+// TestUnusualResponsesAreResponses has a server send responses that HTTP allows.
+func TestUnusualResponsesAreResponses(t *testing.T) {
+	for name, response := range map[string]string{
+		"lowest final status":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"status without a name": "HTTP/1.1 299 \r\nContent-Length: 0\r\n\r\n",
+		"highest status":        "HTTP/1.1 599 x\r\nContent-Length: 0\r\n\r\n",
+		"interim response":      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.0":              "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"unusual names":         "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0aZ: x\r\nContent-Length: 0\r\n\r\n",
+		"no value":              "HTTP/1.1 200 OK\r\nX-Empty:\r\nContent-Length: 0\r\n\r\n",
+		"value of other bytes":  "HTTP/1.1 200 OK\r\nX-Name: a\tb \xe9\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := startRaw(t, response)
+			client := &http.Client{Transport: dialer.Transport(time.Second, time.Minute, 1)}
+			for range 3 {
+				response, err := client.Get("http://" + server.socket.Addr().String())
+				is.NoErr(err)
+				_ = response.Body.Close()
+			}
+		})
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -36,7 +36,7 @@
 
 	mu          sync.Mutex
 	idleTimeout time.Duration
-	transport   *http.Transport
+	transport   *dialer.CheckedTransport
 }
 
 // New returns an exchanger that keeps up to maxIdleConns idle connections per address,
@@ -64,7 +64,7 @@
 }
 
 // Transport returns the transport that new requests use.
-func (e *Exchanger) Transport() *http.Transport {
+func (e *Exchanger) Transport() *dialer.CheckedTransport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.transport
@@ -136,9 +136,7 @@
 // Do sends the request and returns its response. It fails with *catkinrun.Refusal,
 // whose outcome is not-run only if no byte of the request was sent.
 func (e *Exchanger) Do(request *http.Request) (*Exchange, error) {
-	tracker := &dialer.Tracker{}
-	request = request.WithContext(tracker.Trace(request.Context()))
-	received, err := e.Transport().RoundTrip(request)
+	received, tracker, err := e.Transport().Send(request)
 	if err != nil {
 		return nil, refusalOf(request.Context(), tracker, err)
 	}
--- a/filterer/broken_test.go
+++ b/filterer/broken_test.go
@@ -153,3 +153,86 @@
 		}
 	}
 }
+
+// answer sends a request of an idempotent route to an entry daemon and returns the status of the response, 0 for none, and
+// its body.
+func answer(t *testing.T, caller, method, path string) (status int, body string) {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+caller+path, nil)
+	is.NoErr(err)
+	r.Host = "shop.example"
+	r.Header.Set("X-Request-Id", "id-1")
+	r.Header.Set("X-Deadline-Ms", "700")
+	r.Header.Set("Authorization", "Bearer "+key)
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		t.Log(err)
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, string(raw)
+}
+
+// invalidHeads are heads of responses that HTTP does not allow, after which the body "done" follows.
+var invalidHeads = map[string]string{
+	"status 000":               "HTTP/1.1 000 OK\r\n",
+	"status 000 and no reason": "HTTP/1.1 000\r\n",
+	"status 099":               "HTTP/1.1 099 OK\r\n",
+	"status 600":               "HTTP/1.1 600 OK\r\n",
+	"status 999":               "HTTP/1.1 999 OK\r\n",
+	"status with a sign":       "HTTP/1.1 +20 OK\r\n",
+	"status minus zero":        "HTTP/1.1 -00 OK\r\n",
+	"status of two digits":     "HTTP/1.1 20 OK\r\n",
+	"status of four digits":    "HTTP/1.1 2000 OK\r\n",
+	"status of letters":        "HTTP/1.1 2OO OK\r\n",
+	"no status":                "HTTP/1.1 \r\n",
+}
+
+// TestInvalidHeadReachesCallersAsBroken has a server send heads that are no head of a response. The caller is told that
+// the result is unknown, and the request is not sent again.
+func TestInvalidHeadReachesCallersAsBroken(t *testing.T) {
+	for name, head := range invalidHeads {
+		for _, framing := range []string{"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+			for _, twoHosts := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %q, two hosts %v", name, framing, twoHosts), func(t *testing.T) {
+					is := is.New(t)
+					var runs atomic.Int64
+					body := "done"
+					if strings.HasPrefix(framing, "Transfer-Encoding") {
+						body = "4\r\ndone\r\n0\r\n\r\n"
+					}
+					caller := startPath(t, serveRaw(t, func(r *http.Request) string {
+						runs.Add(1)
+						return head + "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n" + signatureHeader + framing + "\r\n" + body + closeMarker
+					}), twoHosts)
+					status, _ := answer(t, caller, http.MethodPost, orderPath)
+					is.Equal(status, http.StatusBadGateway)
+					is.Equal(runs.Load(), int64(1))
+				})
+			}
+		}
+	}
+}
+
+// TestInvalidHeadKeepsNoSlot has a server send more invalid heads than it has slots, each before a body that would be
+// streamed.
+func TestInvalidHeadKeepsNoSlot(t *testing.T) {
+	for _, twoHosts := range []bool{false, true} {
+		t.Run(fmt.Sprintf("two hosts %v", twoHosts), func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			caller := startPath(t, serveRaw(t, func(r *http.Request) string {
+				runs.Add(1)
+				return "HTTP/1.1 000 OK\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n" + signatureHeader + "\r\n" + strings.Repeat("x", 256<<10) + closeMarker
+			}), twoHosts)
+			for sent := range 3 * 8 {
+				status, _ := answer(t, caller, http.MethodPost, orderPath)
+				is.Equal(status, http.StatusBadGateway)
+				is.Equal(runs.Load(), int64(sent+1))
+			}
+		})
+	}
+}
