Dialer: a blank in the name of a header makes a response invalid

What callers saw: a server answered with a signed head in which the name of a field held a blank. The caller got the response as a success. The line itself was left out, by net/http, but after 'Content-Length : 2' or 'Transfer-Encoding : chunked' the body was another than the server's: all bytes until the connection ended, the chunks' framing included.

Cause: the same as with status 000. net/http takes a name with blanks as it is (textproto.ReadMIMEHeader, by intent), does not recognise the length or the coding in it, and nothing checked the names.

Change: the check of heads in dialer.CheckedTransport requires every name to be a token, by golang.org/x/net/http/httpguts, which is the check that net/http makes of requests.

Held already: control bytes, NUL, tabs, bytes above 127, separators and missing colons in names, and control bytes in values; net/http fails for them.

--- /dev/null
+++ b/daemon/invalid_response_test.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/loader"
+	"github.com/catkinrun/catkinrun/messenger"
+	"github.com/catkinrun/catkinrun/syncer"
+)
+
+// fixedServer responds to each request with the same bytes. It stands in for whatever a daemon calls.
+type fixedServer struct {
+	socket   net.Listener
+	response string
+}
+
+func startFixed(t *testing.T, headers, body string) (address string) {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	s := &fixedServer{socket: socket, response: fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s", headers, len(body), body)}
+	go s.run()
+	return socket.Addr().String()
+}
+
+func (s *fixedServer) run() {
+	for {
+		conn, err := s.socket.Accept()
+		if err != nil {
+			return
+		}
+		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, s.response)
+		}
+		_ = conn.Close()
+	}
+}
+
+// TestInvalidResponsesAreNotBelieved has the store, another daemon and the server beside the daemon answer its own
+// requests, once as they should, and once with a blank in the name of a header.
+func TestInvalidResponsesAreNotBelieved(t *testing.T) {
+	for _, c := range []struct {
+		name, headers, body string
+		believes            func(t *testing.T, d *Daemon, address string) bool
+	}{
+		{"list of a table", "Store-Era: 1\r\n", `{"rows":[],"row_version":7}`, func(t *testing.T, d *Daemon, _ string) bool {
+			_, err := d.store.List(t.Context(), "t")
+			return err == nil
+		}},
+		{"watch of a table", "Store-Era: 0\r\n", `{"rows":[],"row_version":7}`, func(t *testing.T, d *Daemon, _ string) bool {
+			_, err := d.store.Watch(t.Context(), "t", 0, time.Second)
+			return err == nil
+		}},
+		{"message to another daemon", "Content-Type: application/cbor\r\n", "\xa0", func(t *testing.T, d *Daemon, address string) bool {
+			_, err := messenger.Call[syncer.Request, syncer.Response](t.Context(), d.peerClient, address, syncer.Procedure, &syncer.Request{})
+			return err == nil
+		}},
+		{"health check", "X-Instance-Id: i\r\nServer-Leaving: 1\r\n", "", func(t *testing.T, d *Daemon, _ string) bool {
+			is := is.New(t)
+			_, err := d.configurer.Apply(catkinrun.SnapshotData{Version: 1, Resources: []catkinrun.Resource{
+				{Kind: catkinrun.KindService, Name: "s", Service: &catkinrun.Service{Health: "/health"}},
+			}}, "test")
+			is.NoErr(err)
+			server := catkinrun.Server{ID: "i", Service: "s", Slots: 1, Sequence: 1}
+			_, err = d.registrar.RecordAnnouncement(server)
+			is.NoErr(err)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			d.prober.Check(ctx, server)
+			_, accepting := d.registrar.Server()
+			return !accepting
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for headers, valid := range map[string]bool{c.headers: true, c.headers + "X-Bad Name: x\r\n": false} {
+				address := startFixed(t, headers, c.body)
+				d, _ := newIdleDaemonOf(loader.Settings{Host: "h", Service: "s", Server: address, Store: address})
+				is.Equal(c.believes(t, d, address), valid)
+			}
+		})
+	}
+}
--- a/daemon/members_test.go
+++ b/daemon/members_test.go
@@ -25,14 +25,17 @@
 
 // newIdleDaemonAt is newIdleDaemon for a host whose server has an address.
 func newIdleDaemonAt(host, service, server string) (*Daemon, *clock.Fake) {
+	return newIdleDaemonOf(loader.Settings{Host: host, Service: service, Server: server})
+}
+
+// newIdleDaemonOf is newIdleDaemon for settings that name the host, the service and the addresses that it calls.
+func newIdleDaemonOf(settings loader.Settings) (*Daemon, *clock.Fake) {
+	settings.Zone = "z"
+	settings.Times = loader.Times{Store: catkinrun.Duration(time.Second), Drain: catkinrun.Duration(2 * time.Second)}
 	now := clock.NewFake()
 	journal := journaler.New(now, io.Discard, logrus.InfoLevel)
 	d := &Daemon{
-		settings: loader.Settings{
-			Host: host, Zone: "z", Service: service, Server: server,
-			Times: loader.Times{Store: catkinrun.Duration(time.Second), Drain: catkinrun.Duration(2 * time.Second)},
-		},
-		clock: now, leaseClock: now, journal: journal, log: journal.Logger(), metrics: metrics.NewSet(),
+		settings: settings, clock: now, leaseClock: now, journal: journal, log: journal.Logger(), metrics: metrics.NewSet(),
 	}
 	d.build()
 	return d, now
--- a/dialer/transport.go
+++ b/dialer/transport.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The range of status codes in HTTP (RFC 9110, section 15).
@@ -11,6 +13,9 @@
 	maxStatus = 599
 )
 
+// maxQuoted is the number of characters of a name that an error quotes, since names may be as long as the head.
+const maxQuoted = 40
+
 // InvalidResponseError reports bytes that net/http takes for the head of a response and that HTTP does not allow.
 type InvalidResponseError struct {
 	Reason string
@@ -45,10 +50,16 @@
 	return response, tracker, nil
 }
 
-// check returns an *InvalidResponseError for an invalid head.
+// check returns an *InvalidResponseError for an invalid head. A name with a blank is no name, and may hide a length or a
+// coding that decides where the body ends.
 func check(response *http.Response) error {
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return &InvalidResponseError{Reason: fmt.Sprintf("status code %03d", response.StatusCode)}
 	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidResponseError{Reason: fmt.Sprintf("header name %.*q", maxQuoted, name)}
+		}
+	}
 	return nil
 }
--- a/dialer/transport_test.go
+++ b/dialer/transport_test.go
@@ -72,6 +72,8 @@
 		"status 600":          "HTTP/1.1 600 OK\r\n",
 		"status with a sign":  "HTTP/1.1 +20 OK\r\n",
 		"status with a minus": "HTTP/1.1 -00 OK\r\n",
+		"blank in a name":     "HTTP/1.1 200 OK\r\nX-Bad Name: x\r\n",
+		"blank at the end":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
 	} {
 		for _, framing := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\ndone"} {
 			t.Run(name+strings.ReplaceAll(framing, "\r\n", " "), func(t *testing.T) {
