Dialer: a response of another major version of HTTP is invalid

What callers saw: a server answered a request of HTTP/1.1 with a signed head of 'HTTP/2.0 200 OK' or 'HTTP/0.9 200 OK' in text. The caller got it as a success. Found by going through a head part by part, as for the status and the names.

Cause: the same. net/http takes any version of one digit, a dot and one digit, and nothing checked it. What a message of another major version means, and where it ends, is not what HTTP/1.1 says.

Change: the check of heads requires the major version 1. HTTP/1.0 and later minor versions stay responses.

Held already: versions of more digits, without digits, and in small letters.

--- a/dialer/transport.go
+++ b/dialer/transport.go
@@ -7,15 +7,17 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// The range of status codes in HTTP (RFC 9110, section 15).
 const (
+	// majorVersion is the major version of HTTP in which requests are sent. Text that names another one is no
+	// response to them (RFC 9110, section 2.5).
+	majorVersion = 1
+	// minStatus and maxStatus bound the status codes (RFC 9110, section 15).
 	minStatus = 100
 	maxStatus = 599
+	// maxQuoted is the number of characters of a name that an error quotes, since names may be as long as the head.
+	maxQuoted = 40
 )
 
-// maxQuoted is the number of characters of a name that an error quotes, since names may be as long as the head.
-const maxQuoted = 40
-
 // InvalidResponseError reports bytes that net/http takes for the head of a response and that HTTP does not allow.
 type InvalidResponseError struct {
 	Reason string
@@ -53,6 +55,9 @@
 // check returns an *InvalidResponseError for an invalid head. A name with a blank is no name, and may hide a length or a
 // coding that decides where the body ends.
 func check(response *http.Response) error {
+	if response.ProtoMajor != majorVersion {
+		return &InvalidResponseError{Reason: "version " + response.Proto}
+	}
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return &InvalidResponseError{Reason: fmt.Sprintf("status code %03d", response.StatusCode)}
 	}
--- a/dialer/transport_test.go
+++ b/dialer/transport_test.go
@@ -23,6 +23,8 @@
 		"status 600":          "HTTP/1.1 600 OK\r\n",
 		"status with a sign":  "HTTP/1.1 +20 OK\r\n",
 		"status with a minus": "HTTP/1.1 -00 OK\r\n",
+		"later version":       "HTTP/2.0 200 OK\r\n",
+		"earlier version":     "HTTP/0.9 200 OK\r\n",
 		"blank in a name":     "HTTP/1.1 200 OK\r\nX-Bad Name: x\r\n",
 		"blank at the end":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
 	} {
@@ -51,6 +53,7 @@
 		"status without a name": "HTTP/1.1 299 \r\nContent-Length: 0\r\n\r\n",
 		"highest status":        "HTTP/1.1 599 x\r\nContent-Length: 0\r\n\r\n",
 		"interim response":      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.2":              "HTTP/1.2 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.0":              "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"unusual names":         "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0aZ: x\r\nContent-Length: 0\r\n\r\n",
 		"no value":              "HTTP/1.1 200 OK\r\nX-Empty:\r\nContent-Length: 0\r\n\r\n",
--- a/filterer/broken_test.go
+++ b/filterer/broken_test.go
@@ -156,6 +156,12 @@
 	"status of letters":        "HTTP/1.1 2OO OK\r\n",
 	"no status":                "HTTP/1.1 \r\n",
 
+	"version 2.0":  "HTTP/2.0 200 OK\r\n",
+	"version 0.9":  "HTTP/0.9 200 OK\r\n",
+	"version 11.1": "HTTP/11.1 200 OK\r\n",
+	"no version":   "HTTP/ 200 OK\r\n",
+	"protocol":     "http/1.1 200 OK\r\n",
+
 	"blank in a name":            "HTTP/1.1 200 OK\r\nX-Bad Name: x\r\n",
 	"blank before a colon":       "HTTP/1.1 200 OK\r\nX-Bad : x\r\n",
 	"blank in place of a name":   "HTTP/1.1 200 OK\r\nX-Good: x\r\n: x\r\n",
