Commander: responses are checked as in the daemon

What operators saw: 'catkinrun status' took the response of a daemon, and every command that of the store, although the name of a header held a blank, after which a body may be another than was sent. A reset that a write was told of could end a response without a length, as in the daemon.

Cause: the commands used http.DefaultClient, all else that reads responses the transport of the dialer.

Change: the commands have a client with the dialer's transport. It uses no HTTP proxy, as the daemon's clients, since it calls addresses of hosts and of the store.

Evidence: TestCommandsDoNotBelieveInvalidResponsesOfTheStore and one of two cases of TestStatusDoesNotBelieveInvalidResponses failed before.

--- a/commander/client.go
+++ b/commander/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/catkinrun/catkinrun"
 	"github.com/catkinrun/catkinrun/daemon"
+	"github.com/catkinrun/catkinrun/dialer"
 	"github.com/catkinrun/catkinrun/platform"
 )
 
@@ -27,6 +28,9 @@
 	callTimeout = 5 * time.Second
 	// defaultWaitTimeout bounds the wait until a change is in force at every daemon.
 	defaultWaitTimeout = 30 * time.Second
+	// idleTimeout closes idle connections, and maxIdleConns bounds them per address.
+	idleTimeout  = 30 * time.Second
+	maxIdleConns = 2
 	// pollInterval is the time between two polls of the daemons while a command waits.
 	pollInterval = 250 * time.Millisecond
 	// maxSampled is the number of daemons that are asked for the version in force before a change, and
@@ -35,6 +39,9 @@
 	sampleTimeout = time.Second
 )
 
+// client calls the store and the daemons. It fails for the same responses as the client of a daemon.
+var client = &http.Client{Transport: dialer.Transport(callTimeout, idleTimeout, maxIdleConns)}
+
 // storeClient reads and writes the store on behalf of operators' commands.
 type storeClient struct {
 	address string
@@ -48,7 +55,7 @@
 	if s.address == "" {
 		return nil, &UsageError{Cause: &catkinrun.InvalidError{Where: "flag", Field: "store", Reason: "set --store or " + storeEnvVar}}
 	}
-	return platform.NewStore(s.address, http.DefaultClient, callTimeout, discardLog()), nil
+	return platform.NewStore(s.address, client, callTimeout, discardLog()), nil
 }
 
 // discardLog returns the log of a command, whose output goes to its terminal.
@@ -180,7 +187,7 @@
 	if err != nil {
 		return status, &DaemonError{Host: m.Host, Cause: err}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return status, &DaemonError{Host: m.Host, Cause: err}
 	}
