Commander: a failure is no status of a daemon

Cause: fetchStatus decoded the body without a check of the code. All other readers check it: the store's client, the prober, the messages between daemons (connect) and the filters.

Change: any code but 200 is a *DaemonError, which the commands show as 'no answer'.

Evidence: the new case of TestStatusDoesNotBelieveInvalidResponses failed before.

--- a/commander/client.go
+++ b/commander/client.go
@@ -178,6 +178,13 @@
 // Unwrap returns the cause.
 func (e *DaemonError) Unwrap() error { return e.Cause }
 
+// StatusError is an unsuccessful response of a daemon.
+type StatusError struct {
+	Text string
+}
+
+func (e *StatusError) Error() string { return "the daemon responded with " + e.Text }
+
 // fetchStatus returns a daemon's status. It fails with *DaemonError.
 func fetchStatus(ctx context.Context, m catkinrun.Member) (daemon.Status, error) {
 	var status daemon.Status
@@ -192,6 +199,9 @@
 		return status, &DaemonError{Host: m.Host, Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return status, &DaemonError{Host: m.Host, Cause: &StatusError{Text: response.Status}}
+	}
 	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
 		return status, &DaemonError{Host: m.Host, Cause: err}
 	}
--- a/commander/invalid_response_test.go
+++ b/commander/invalid_response_test.go
@@ -42,7 +42,8 @@
 	}
 }
 
-// TestStatusDoesNotBelieveInvalidResponses has a daemon answer as it should, and with a blank in the name of a header.
+// TestStatusDoesNotBelieveInvalidResponses has a daemon answer as it should, with a blank in the name of a header, and
+// with a failure.
 func TestStatusDoesNotBelieveInvalidResponses(t *testing.T) {
 	for _, c := range []struct {
 		status, headers string
@@ -50,6 +51,7 @@
 	}{
 		{"200 OK", "", "true"},
 		{"200 OK", "X-Bad Name: x\r\n", "no answer"},
+		{"500 Internal Server Error", "", "no answer"},
 	} {
 		t.Run(c.status+c.headers, func(t *testing.T) {
 			is := is.New(t)
