--- a/dialer/transport.go
+++ b/dialer/transport.go
@@ -37,7 +37,7 @@
 	return response, err
 }
 
-// Send is RoundTrip. It also returns the tracker of the request's connection.
+// Send is RoundTrip that also returns the tracker of the request's connection, for a failed request too.
 func (t *CheckedTransport) Send(request *http.Request) (*http.Response, *Tracker, error) {
 	tracker := &Tracker{}
 	response, err := t.Transport.RoundTrip(request.WithContext(tracker.Trace(request.Context())))
--- a/filterer/handler.go
+++ b/filterer/handler.go
@@ -157,8 +157,8 @@
 	writeRefusal(w, &final, c.Envelope.Request)
 }
 
-// relay writes the response to r. If the response breaks off, relay closes the connection, so
-// that the reader never takes a truncated response for a complete one.
+// relay writes the response to r. If the response breaks off, relay closes or resets the connection,
+// so that the reader never takes a truncated response for a complete one.
 func (g *Gateway) relay(w http.ResponseWriter, r *http.Request, listener Listener, c *catkinrun.Call) {
 	response := c.Response
 	h := w.Header()
