Dialer: a tracker closes the last connection of its request

In the daemon, a connection with an invalid response, or with a response to another request, could stay in use, while another one was closed.

Cause: net/http sends a request without a body again by itself, on another connection, if the pooled one turns out closed before anything was written. The tracker kept the first connection and only noted that there was a second; Close closed the first.

Change: the tracker keeps the last connection, on which the response arrives. Whether a request with two connections was sent stays unknown.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -149,11 +149,12 @@
 		conn = wrapped.NetConn()
 	}
 	counted, ok := conn.(*Conn)
-	if !ok || t.conn != nil {
+	if !ok {
 		t.untracked = true
 		return
 	}
-	t.conn = counted
+	t.untracked = t.untracked || t.conn != nil
+	t.conn = counted // the last one, which the response arrives on
 	t.offset = counted.offset()
 }
 
--- a/dialer/transport_test.go
+++ b/dialer/transport_test.go
@@ -1,7 +1,9 @@
 package dialer_test
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +48,23 @@
 	}
 }
 
+// TestLastConnectionOfARequestIsClosed has a request use a second connection, as net/http does by itself if the first one
+// was closed before anything was written to it. The response arrives on the second.
+func TestLastConnectionOfARequestIsClosed(t *testing.T) {
+	is := is.New(t)
+	first, _ := connect(t)
+	second, far := connect(t)
+	var tracker dialer.Tracker
+	trace := httptrace.ContextClientTrace(tracker.Trace(t.Context()))
+	trace.GotConn(httptrace.GotConnInfo{Conn: first})
+	trace.GotConn(httptrace.GotConnInfo{Conn: second, Reused: true})
+	is.True(!tracker.Unsent()) // which of the two was written to is unknown
+	tracker.Close()
+	is.NoErr(far.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err := far.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 // TestUnusualResponsesAreResponses has a server send responses that HTTP allows.
 func TestUnusualResponsesAreResponses(t *testing.T) {
 	for name, response := range map[string]string{
