Relayer: rows of a watcher count as of its last confirmation

Cause: "no changes" holds as of the last response of the store, and nothing told how old that was. Evidence: a fleet on a fake clock without any failed request before the delay ends; watchers of two of three zones are enough.

Each daemon now keeps the time up to which its rows are complete, watchers state it with each response relative to the arrival of the request, and a daemon whose rows become too old asks another watcher and then the store: 1 s between confirmations + 0.4 s slack + 0.2 s for the other watcher + one call. A response of the store confirms all tables whose position is not below its revision, so that the watch of the configuration also confirms the members.

TestChangeIsInForceInTimeWhileTheWatchersAreBlind failed before in four of its groups ("host-04 has revision 1 of 3", in force after 2 s or more).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,7 +141,7 @@
 	d.broker = broker.New(d.store, d.locator, d.configurer, d.leaseClock, d.log, locator.Table,
 		broker.Owner{Host: s.Host, Peer: s.Listen.Peer, Incarnation: d.incarnation}, d.RequestTokens)
 	d.limiter = limiter.New(d.configurer, d.locator, d, d.leaseClock, d.log, s.Host)
-	d.relayer = relayer.New(d.store, d.locator, d.askWatcher, d.log, self)
+	d.relayer = relayer.New(d.store, d.locator, d.askWatcher, d.leaseClock, d.log, self)
 	d.configuration = follower.New(d.relayer, d.clock, d.log, platform.ConfigurationTable, follower.PromptWait, 0, d.applyConfiguration)
 	d.members = follower.New(d.relayer, d.clock, d.log, locator.Table, follower.LongWait, membersInterval, d.applyMembers)
 	d.screener = screener.New(d.clock, d.log, s.Host, d.registrar.ReportCrashes)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/catkinrun/catkinrun/filterer"
 	"github.com/catkinrun/catkinrun/follower"
+	"github.com/catkinrun/catkinrun/locator"
+	"github.com/catkinrun/catkinrun/platform"
 )
 
 // recordRequest records the outcome and the duration of a request that has ended at a
@@ -41,6 +43,9 @@
 	for table, f := range map[string]*follower.Follower{"configuration": d.configuration, "members": d.members} {
 		gauges[fmt.Sprintf(`catkinrun_store_age_seconds{table=%q}`, table)] = func() float64 { return f.Age().Seconds() }
 	}
+	for label, table := range map[string]string{"configuration": platform.ConfigurationTable, "members": locator.Table} {
+		gauges[fmt.Sprintf(`catkinrun_rows_age_seconds{table=%q}`, label)] = func() float64 { return d.relayer.Age(table).Seconds() }
+	}
 	for name, value := range gauges {
 		d.metrics.NewGauge(name, value)
 	}
--- a/relayer/overtaken_test.go
+++ b/relayer/overtaken_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
 	"github.com/catkinrun/catkinrun/follower"
 	"github.com/catkinrun/catkinrun/relayer"
 )
@@ -74,7 +75,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		s := &lossyStore{revision: 3}
-		r := relayer.New(s, nobody{}, nil, log, catkinrun.Member{Host: "h", Zone: "z"})
+		r := relayer.New(s, nobody{}, nil, clock.System{}, log, catkinrun.Member{Host: "h", Zone: "z"})
 		type result struct {
 			page catkinrun.Page
 			err  error
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -1,11 +1,12 @@
 // Package relayer lets a few daemons of each availability zone, the watchers, watch the
 // platform's store for the others, so that the calls to the store do not grow with the fleet.
 //
-// A daemon that is not a watcher asks the watchers of its zone and one of another zone in turn for the
-// changes of a table. A watcher that is cut off from the store therefore delays a change by one turn at
-// most. If a watcher does not answer, or its own calls to the store fail, the daemon watches
-// the store itself for once. A watcher that has listed the table since the requested revision, because the
-// history was dropped or the store restored, passes on all rows, so that not every daemon lists it.
+// A daemon that is not a watcher asks a watcher of its zone for the changes of a table. A response states as of when the
+// rows are complete, since a watcher hears nothing while its own watch waits, and notices late that it is cut off from
+// the store. If the rows that a daemon has become too old, or its watcher does not respond, it turns to another
+// watcher, which may be of the next zone, and then watches the store itself for once. A watcher that has listed the table since the
+// requested revision, because the history was dropped or the store restored, passes on all rows, so that not every
+// daemon lists it.
 package relayer
 
 import (
@@ -18,22 +19,43 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/follower"
 )
 
 // Procedure is the path of watch requests on a peer listener.
 const Procedure = "/catkinrun.peer/watch"
 
 const (
-	// minTurns is the number of watchers that a daemon asks in turn at least, so that one of them may
-	// be cut off from the store.
-	minTurns = 2
+	// minWatchers is the number of watchers that a daemon knows at least, so that one of them may fail.
+	minWatchers = 2
 	// hostsPerWatcher is the number of hosts of a zone for each further watcher.
 	hostsPerWatcher = 300
-	// turnTime is how long a watcher holds a request without changes. A configuration must be
-	// in force two seconds after it is written, even if one watcher is cut off from the store.
-	turnTime = 800 * time.Millisecond
-	// turnTimeout is the time after which a watcher counts as failed.
-	turnTimeout = turnTime + 300*time.Millisecond
+	// preferTime is how long a daemon that has turned to another watcher stays with it.
+	preferTime = 10 * time.Second
+)
+
+// A configuration must be in force two seconds after it is written, even if all watchers are cut off from the store at
+// that moment. A daemon that can read the store has it after confirmInterval + confirmSlack + askTime and one call to
+// the store, which leaves 0.4 s for that call.
+const (
+	// confirmInterval is the time after which a watcher has a response of the store that confirms its rows.
+	confirmInterval = follower.PromptWait
+	// confirmSlack is how much later the confirmation may arrive at a daemon that asks the watcher. The store may be
+	// slow, and watcher and daemon busy.
+	confirmSlack = 400 * time.Millisecond
+	// maxSilence is the age of a daemon's rows from which it does not wait for its watcher any longer, and the age of its
+	// own rows from which a watcher refuses to pass them on.
+	maxSilence = confirmInterval + confirmSlack
+	// askTime is how long the daemon then waits for another watcher, which responds at once if it has newer rows.
+	askTime = 200 * time.Millisecond
+	// maxAge is the age of its rows at which a daemon watches the store itself.
+	maxAge = maxSilence + askTime
+	// holdTime is how long a watcher holds a request at most: a little longer than the time between two confirmations.
+	holdTime = confirmInterval + 50*time.Millisecond
+	// listTimeout is the time after which another daemon counts as unable to read a table.
+	listTimeout = 1100 * time.Millisecond
+	// minGain is how much newer the rows of a watcher must be for an early response without changes.
+	minGain = 200 * time.Millisecond
 )
 
 // Request asks a watcher for the changes of a table after a revision, or any daemon to read all of a
@@ -42,6 +64,7 @@
 	Table string             `cbor:"table"`
 	After catkinrun.Revision `cbor:"after"`
 	List  bool               `cbor:"list,omitempty"`
+	Age   time.Duration      `cbor:"age,omitempty"` // of the requesting daemon's rows
 }
 
 // Response has the changed rows, or all rows.
@@ -50,6 +73,9 @@
 	Revision catkinrun.Revision `cbor:"revision"`
 	Usable   bool               `cbor:"usable"`             // the daemon has all that was asked for from the store
 	Complete bool               `cbor:"complete,omitempty"` // these are all rows, since the changes after the requested revision are not known
+	// Known is the time for which all changes are known, counted from the arrival of the request; negative if it ended
+	// before. No clock reading leaves its host.
+	Known time.Duration `cbor:"known,omitempty"`
 }
 
 // Members lists the hosts.
@@ -67,24 +93,36 @@
 
 	members Members
 	ask     Ask
+	clock   catkinrun.Clock
 	log     logrus.FieldLogger
 	self    catkinrun.Member
 
 	mu      sync.Mutex
+	turn    int       // of the watcher that is asked, in the order of this daemon
+	turnAt  time.Time // when it became this one
 	tables  map[string]*table
 	watches map[string]*heldWatch // by table, the long ones that the store holds now
 	helpers int                   // number of requests to read a table for this daemon
 }
 
-// New returns a relayer for the daemon that self describes.
-func New(store catkinrun.Store, members Members, ask Ask, log logrus.FieldLogger, self catkinrun.Member) *Relayer {
-	return &Relayer{Store: store, members: members, ask: ask, log: log, self: self, tables: make(map[string]*table), watches: make(map[string]*heldWatch)}
+// New returns a relayer for the daemon that self describes. The clock must count the time for which the host is
+// suspended, during which the store may change.
+func New(store catkinrun.Store, members Members, ask Ask, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member) *Relayer {
+	return &Relayer{Store: store, members: members, ask: ask, clock: clock, log: log, self: self, tables: make(map[string]*table), watches: make(map[string]*heldWatch)}
+}
+
+// Age returns the age of the rows of a table: the time for which changes may be unknown to this daemon.
+func (r *Relayer) Age(name string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Now().Sub(r.tableLocked(name).asOf)
 }
 
 // List implements catkinrun.Store. If the store does not respond to this daemon, another one reads
 // it: the rows are as of a time after the call, as if this daemon had read them itself. A daemon
 // that cannot read the members table after its start could not vote for the owners of the rates.
 func (r *Relayer) List(ctx context.Context, name string) (catkinrun.Page, error) {
+	sentAt := r.clock.Now()
 	page, err := r.Store.List(ctx, name)
 	direct := err == nil
 	if !direct && ctx.Err() == nil {
@@ -96,6 +134,7 @@
 	t.watched = direct
 	if err == nil {
 		t.replace(page)
+		t.confirm(sentAt)
 	}
 	return page, err
 }
@@ -124,7 +163,7 @@
 	if !ok {
 		return catkinrun.Page{}, storeErr
 	}
-	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	response, err := r.ask(ctx, helper, &Request{Table: name, List: true})
 	if err != nil || !response.Usable {
@@ -137,37 +176,82 @@
 
 // Watch implements catkinrun.Store.
 func (r *Relayer) Watch(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
-	if watcher, ok := r.nextWatcher(name); ok {
-		page, err := r.askWatcher(ctx, watcher, name, after)
+	watchers, isWatcher := watchersFor(r.self, r.members.Members())
+	if isWatcher || len(watchers) == 0 {
+		return r.watchStore(ctx, name, after, wait)
+	}
+	var cause error
+	for _, limit := range askLimits(r.Age(name)) {
+		watcher := r.currentWatcher(watchers)
+		page, err := r.askWatcher(ctx, watcher, name, after, limit)
 		if err == nil || ctx.Err() != nil {
+			if err == nil {
+				r.setAlone(name, false, nil)
+			}
 			return page, err
 		}
-		r.log.WithError(err).WithFields(logrus.Fields{"watcher": watcher.Host, "table": name}).Debug("relayer: watcher failed, watching the store")
-		wait = min(wait, turnTime) // the store may be what has failed
+		r.passOver(watcher, watchers)
+		cause = err
+		r.log.WithError(err).WithFields(logrus.Fields{"watcher": watcher.Host, "table": name, "age_ms": r.Age(name).Milliseconds()}).Debug("relayer: watcher passed over")
 	}
-	page, err := r.watchStore(ctx, name, after, wait)
-	r.record(name, page, err, true)
-	return page, err
+	r.setAlone(name, true, cause)
+	return r.watchStore(ctx, name, after, min(wait, confirmInterval))
 }
 
-// nextWatcher returns the watcher whose turn it is; ok is false if this daemon has to watch
-// the store itself.
-func (r *Relayer) nextWatcher(name string) (watcher catkinrun.Member, ok bool) {
-	watchers, isWatcher := watchersFor(r.self, r.members.Members())
-	if len(watchers) == 0 || isWatcher {
-		return catkinrun.Member{}, false
-	}
+// setAlone records whether this daemon watches the store itself for lack of a watcher, and logs a change.
+func (r *Relayer) setAlone(name string, alone bool, cause error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
-	t.turns++
-	return watchers[t.turns%len(watchers)], true
+	if t.alone == alone {
+		return
+	}
+	t.alone = alone
+	fields := logrus.Fields{"table": name, "age_ms": r.clock.Now().Sub(t.asOf).Milliseconds()}
+	if alone {
+		r.log.WithError(cause).WithFields(fields).Info("relayer: no watcher has current rows, watching the store")
+		return
+	}
+	r.log.WithFields(fields).Info("relayer: a watcher has current rows again")
+}
+
+// askLimits returns how long to wait for the current watcher and then for the next one, for a daemon whose rows have
+// an age. One whose rows are too old already, after its start or an outage, has no watcher to wait for.
+func askLimits(age time.Duration) []time.Duration {
+	switch {
+	case age < maxSilence:
+		return []time.Duration{maxSilence - age, askTime}
+	case age < maxAge:
+		return []time.Duration{maxAge - age}
+	}
+	return []time.Duration{askTime, askTime}
 }
 
-func (r *Relayer) askWatcher(ctx context.Context, watcher catkinrun.Member, name string, after catkinrun.Revision) (catkinrun.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+// currentWatcher returns the watcher whose turn it is. After a while a daemon returns to the first one, which is of its
+// own zone.
+func (r *Relayer) currentWatcher(watchers []catkinrun.Member) catkinrun.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clock.Now().Sub(r.turnAt) >= preferTime {
+		r.turn = 0
+	}
+	return watchers[r.turn%len(watchers)]
+}
+
+// passOver makes it the next watcher's turn, unless a request for another table has done so.
+func (r *Relayer) passOver(watcher catkinrun.Member, watchers []catkinrun.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if watchers[r.turn%len(watchers)].Host == watcher.Host {
+		r.turn, r.turnAt = r.turn+1, r.clock.Now()
+	}
+}
+
+func (r *Relayer) askWatcher(ctx context.Context, watcher catkinrun.Member, name string, after catkinrun.Revision, limit time.Duration) (catkinrun.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	response, err := r.ask(ctx, watcher, &Request{Table: name, After: after})
+	sentAt, age := r.clock.Now(), r.Age(name)
+	response, err := r.ask(ctx, watcher, &Request{Table: name, After: after, Age: age})
 	if err != nil {
 		return catkinrun.Page{}, err
 	}
@@ -175,7 +259,8 @@
 		return catkinrun.Page{}, &UnusableError{Host: watcher.Host}
 	}
 	page := catkinrun.Page{Rows: response.Rows, Revision: response.Revision, Complete: response.Complete}
-	r.record(name, page, nil, false)
+	asOf := sentAt.Add(min(response.Known, r.clock.Now().Sub(sentAt)))
+	r.recordRelayed(name, page, asOf)
 	return page, nil
 }
 
@@ -186,23 +271,34 @@
 
 func (e *UnusableError) Error() string { return e.Host + " does not watch the store" }
 
-// record adds the result of a watch, which is direct if it came from the store itself.
-func (r *Relayer) record(name string, page catkinrun.Page, err error, direct bool) {
+// recordRelayed adds what a watcher has responded.
+func (r *Relayer) recordRelayed(name string, page catkinrun.Page, asOf time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
-	t.watched = direct && err == nil
-	if t.watched {
-		r.overtakeLocked(name, page.Revision)
-	}
-	switch {
-	case err == nil && page.Complete:
-		t.replace(page)
-	case err == nil:
-		t.add(page)
-	}
-	if !t.watched {
+	t.watched = false
+	t.apply(page)
+	t.confirm(asOf)
+	t.notify() // daemons that wait here have to turn to another watcher
+}
+
+// recordWatched adds the result of a watch of the store, which shows all changes up to asOf.
+func (r *Relayer) recordWatched(name string, page catkinrun.Page, err error, asOf time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tableLocked(name)
+	t.watched = err == nil
+	if err != nil {
 		t.notify() // daemons that wait here have to turn to another watcher
+		return
+	}
+	r.overtakeLocked(name, page.Revision)
+	t.apply(page)
+	t.confirm(asOf)
+	for _, other := range r.tables {
+		if page.Revision <= other.revision { // the store has not changed since
+			other.confirm(asOf)
+		}
 	}
 }
 
@@ -215,22 +311,23 @@
 	return t
 }
 
-// Handle responds to the request of another daemon, at the latest after turnTime.
+// Handle responds to the request of another daemon as soon as there is news for it, at the latest after holdTime.
 func (r *Relayer) Handle(ctx context.Context, request *Request) (*Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, turnTime)
+	receivedAt := r.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, holdTime)
 	defer cancel()
 	if request.List {
 		return r.listFor(ctx, request.Table), nil
 	}
 	for {
-		response, changed := r.respond(request)
-		if !response.Usable || response.Complete || len(response.Rows) > 0 {
+		response, changed := r.respond(request, receivedAt)
+		if !response.Usable || response.Complete || len(response.Rows) > 0 || response.Known+request.Age >= minGain {
 			return response, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			response, _ = r.respond(request)
+			response, _ = r.respond(request, receivedAt)
 			return response, nil
 		}
 	}
@@ -245,13 +342,14 @@
 	return &Response{Rows: page.Rows, Revision: page.Revision, Usable: true}
 }
 
-// respond returns the present response to a request and a channel that is closed when it
+// respond returns the present response to a request that arrived at receivedAt, and a channel that is closed when it
 // changes.
-func (r *Relayer) respond(request *Request) (response *Response, changed <-chan struct{}) {
+func (r *Relayer) respond(request *Request, receivedAt time.Time) (response *Response, changed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(request.Table)
-	response = &Response{Revision: t.revision, Usable: t.watched, Complete: t.watched && request.After < t.listedAt}
+	usable := t.watched && r.clock.Now().Sub(t.asOf) < maxSilence
+	response = &Response{Revision: t.revision, Usable: usable, Complete: usable && request.After < t.listedAt, Known: t.asOf.Sub(receivedAt)}
 	if !response.Usable {
 		return response, t.changed
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,31 +13,72 @@
 	"github.com/matryer/is"
 
 	"github.com/catkinrun/catkinrun"
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/follower"
 	"github.com/catkinrun/catkinrun/relayer"
 )
 
-const tableName = "t"
+// Tables of the store. As in a daemon, promptName is watched for a second at a time, and tableName for long.
+const (
+	tableName  = "t"
+	promptName = "prompt"
+)
 
-// store is a table of one key whose watches wait for a change.
+// store has two tables of one key whose watches wait for a change.
 type store struct {
 	catkinrun.Store
 	mu       sync.Mutex
 	revision catkinrun.Revision
+	written  map[string]catkinrun.Revision // by table: of the last change
 	changed  chan struct{}
-	calls    int
+	calls    int                      // watches of tableName
+	byHost   map[string]int           // watches of both tables
 	waits    map[string]time.Duration // by host: of the last watch
 	down     map[string]bool          // by host: calls fail
 	silent   map[string]bool          // by host: responses to watches are lost
+	delay    time.Duration            // of each response
+}
+
+func newStore() *store {
+	return &store{
+		revision: 1, written: map[string]catkinrun.Revision{tableName: 1, promptName: 1}, changed: make(chan struct{}),
+		byHost: make(map[string]int), waits: make(map[string]time.Duration), down: make(map[string]bool), silent: make(map[string]bool),
+	}
 }
 
-func (s *store) write() {
+func (s *store) write(table string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.written[table] = s.revision
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// callsBesides counts the watches of all hosts but some.
+func (s *store) callsBesides(hosts []string) (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for host, calls := range s.byHost {
+		if !slices.Contains(hosts, host) {
+			count += calls
+		}
+	}
+	return count
+}
+
+func (s *store) setDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+func (s *store) responseDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.delay
+}
+
 func (s *store) fail(host string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,41 +116,55 @@
 	host string
 }
 
-func (v view) page() (catkinrun.Page, <-chan struct{}, error) {
+// page returns the row of a table as of the store's newest revision, and whether it has changed after a revision.
+func (v view) page(table string, after catkinrun.Revision) (page catkinrun.Page, isNew bool, changed <-chan struct{}, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.down[v.host] {
-		return catkinrun.Page{}, nil, &catkinrun.StoreError{Operation: "watch", Status: 503}
+		return catkinrun.Page{}, false, nil, &catkinrun.StoreError{Operation: "watch", Status: 503}
 	}
-	row := catkinrun.Row{Key: "k", Value: []byte(fmt.Sprint(v.revision)), Revision: v.revision}
-	return catkinrun.Page{Rows: []catkinrun.Row{row}, Revision: v.revision}, v.changed, nil
+	written := v.written[table]
+	row := catkinrun.Row{Key: "k", Value: []byte(fmt.Sprint(written)), Revision: written}
+	return catkinrun.Page{Rows: []catkinrun.Row{row}, Revision: v.revision}, written > after, v.changed, nil
 }
 
-func (v view) List(context.Context, string) (catkinrun.Page, error) {
-	page, _, err := v.page()
+func (v view) List(_ context.Context, table string) (catkinrun.Page, error) {
+	page, _, _, err := v.page(table, 0)
 	return page, err
 }
 
-func (v view) Watch(ctx context.Context, _ string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
+func (v view) Watch(ctx context.Context, table string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
 	v.mu.Lock()
-	v.calls++
+	if table == tableName {
+		v.calls++
+	}
+	v.byHost[v.host]++
 	v.waits[v.host] = wait
 	v.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
+		page, isNew, changed, err := v.page(table, after)
 		if v.loses(v.host) {
-			<-ctx.Done()
+			<-waitCtx.Done()
 			time.Sleep(storeTimeout)
 			return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch"}
 		}
-		page, changed, err := v.page()
-		if err != nil || page.Revision > after {
+		if err != nil || isNew {
+			time.Sleep(v.responseDelay())
 			return page, err
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-waitCtx.Done():
+			if ctx.Err() != nil {
+				return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch", Cause: ctx.Err()}
+			}
+			if v.loses(v.host) {
+				time.Sleep(storeTimeout)
+				return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch"}
+			}
+			time.Sleep(v.responseDelay())
 			return catkinrun.Page{Revision: page.Revision}, nil
 		}
 	}
@@ -117,7 +173,7 @@
 // storeTimeout is how long a daemon waits for a response that is due.
 const storeTimeout = 1500 * time.Millisecond
 
-// fleet is a number of daemons that follow the table.
+// fleet is a number of daemons that follow the tables.
 type fleet struct {
 	store   *store
 	members []catkinrun.Member
@@ -128,34 +184,59 @@
 	fleet   *fleet
 	relayer *relayer.Relayer
 	frozen  atomic.Bool
+	slow    atomic.Bool // to respond to other daemons
 
-	mu       sync.Mutex
+	mu   sync.Mutex
+	seen map[string]change // by table: the last one
+}
+
+// change is a change as a daemon has learned of it.
+type change struct {
 	revision catkinrun.Revision
-	at       time.Time // of the last change
+	at       time.Time
+}
+
+func (d *daemon) last(table string) change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seen[table]
 }
 
 func (f *fleet) Members() []catkinrun.Member { return f.members }
 
 func (f *fleet) ask(ctx context.Context, watcher catkinrun.Member, request *relayer.Request) (*relayer.Response, error) {
-	if f.daemons[watcher.Host].frozen.Load() {
+	d := f.daemons[watcher.Host]
+	if d.frozen.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return f.daemons[watcher.Host].relayer.Handle(ctx, request)
+	response, err := d.relayer.Handle(ctx, request)
+	if d.slow.Load() {
+		if err := (clock.System{}).Wait(ctx, slowReply); err != nil {
+			return nil, err
+		}
+	}
+	return response, err
 }
 
-// run follows the table as package follower does.
-func (d *daemon) run(ctx context.Context) {
-	page, _ := d.relayer.List(ctx, tableName)
+// slowReply is how much later than others a slow daemon responds.
+const slowReply = 600 * time.Millisecond
+
+// run follows a table as package follower does.
+func (d *daemon) run(ctx context.Context, table string, wait time.Duration) {
+	page, _ := d.relayer.List(ctx, table)
+	after := page.Revision
 	for ctx.Err() == nil {
 		d.mu.Lock()
-		if page.Revision > d.revision {
-			d.revision, d.at = page.Revision, time.Now()
+		for _, row := range page.Rows {
+			if row.Revision > d.seen[table].revision {
+				d.seen[table] = change{row.Revision, time.Now()}
+			}
 		}
-		after := d.revision
 		d.mu.Unlock()
+		after = max(after, page.Revision)
 		var err error
-		if page, err = d.relayer.Watch(ctx, tableName, after, 25*time.Second); err != nil {
+		if page, err = d.relayer.Watch(ctx, table, after, wait); err != nil {
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
@@ -163,18 +244,19 @@
 
 // startFleet starts daemons of zones in turn.
 func startFleet(t *testing.T, count int, zones ...string) *fleet {
-	f := &fleet{store: &store{revision: 1, changed: make(chan struct{}), waits: make(map[string]time.Duration), down: make(map[string]bool), silent: make(map[string]bool)}, daemons: make(map[string]*daemon)}
+	f := &fleet{store: newStore(), daemons: make(map[string]*daemon)}
 	log := discardLog()
 	ctx, cancel := context.WithCancel(t.Context())
 	for i := range count {
 		m := catkinrun.Member{Host: fmt.Sprintf("host-%02d", i), Zone: zones[i%len(zones)]}
 		f.members = append(f.members, m)
-		d := &daemon{fleet: f}
-		d.relayer = relayer.New(view{f.store, m.Host}, f, f.ask, log, m)
+		d := &daemon{fleet: f, seen: make(map[string]change)}
+		d.relayer = relayer.New(view{f.store, m.Host}, f, f.ask, clock.System{}, log, m)
 		f.daemons[m.Host] = d
 	}
 	for _, d := range f.daemons {
-		go d.run(ctx)
+		go d.run(ctx, tableName, follower.LongWait)
+		go d.run(ctx, promptName, follower.PromptWait)
 	}
 	t.Cleanup(func() { cancel(); time.Sleep(2 * storeTimeout) }) // sleeping daemons end
 	time.Sleep(30 * time.Second)                                 // the watches with which all daemons began have ended
@@ -217,24 +299,23 @@
 	})
 }
 
-// slowest writes a change and returns the time until it has reached the last daemon that is
-// neither frozen nor cut off from the store.
-func (f *fleet) slowest(t *testing.T) time.Duration {
+// slowest writes a change of a table and returns the time until it has reached the last daemon that is neither frozen
+// nor cut off from the store.
+func (f *fleet) slowest(t *testing.T, table string) time.Duration {
 	t.Helper()
 	writtenAt := time.Now()
-	f.store.write()
+	f.store.write(table)
 	time.Sleep(5 * time.Second)
 	slowest := time.Duration(0)
 	for host, d := range f.daemons {
 		if d.frozen.Load() || f.store.fails(host) {
 			continue
 		}
-		d.mu.Lock()
-		if d.revision != f.store.revision {
-			t.Fatalf("%s has revision %d of %d", host, d.revision, f.store.revision)
+		last := d.last(table)
+		if last.revision != f.store.revision {
+			t.Fatalf("%s has revision %d of %d", host, last.revision, f.store.revision)
 		}
-		slowest = max(slowest, d.at.Sub(writtenAt))
-		d.mu.Unlock()
+		slowest = max(slowest, last.at.Sub(writtenAt))
 	}
 	return slowest
 }
@@ -245,9 +326,10 @@
 		is := is.New(t)
 		f := startFleet(t, 20, "z")
 		is.Equal(len(f.watchers()), 2)
+		time.Sleep(follower.PromptWait / 3) // no change is made at the same instant as a response of the store
 		before := f.store.callCount()
 		for range 4 {
-			is.True(f.slowest(t) < 100*time.Millisecond)
+			is.True(f.slowest(t, tableName) < 100*time.Millisecond)
 		}
 		is.True(f.store.callCount()-before <= 10) // one for each watcher and change
 	})
@@ -259,9 +341,10 @@
 		is := is.New(t)
 		f := startFleet(t, 20, "a", "b", "c", "d", "e")
 		is.Equal(len(f.watchers()), 5)
+		time.Sleep(follower.PromptWait / 3) // no change is made at the same instant as a response of the store
 		before := f.store.callCount()
 		for range 4 {
-			is.True(f.slowest(t) < 100*time.Millisecond)
+			is.True(f.slowest(t, tableName) < 100*time.Millisecond)
 		}
 		is.True(f.store.callCount()-before <= 25) // one for each watcher and change
 	})
@@ -291,7 +374,7 @@
 						}
 					}
 					for range 3 {
-						is.True(f.slowest(t) < inForce)
+						is.True(f.slowest(t, tableName) < inForce)
 					}
 				})
 			})
@@ -327,7 +410,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := startFleet(t, 4, "z")
-		f.store.write()
+		f.store.write(tableName)
 		for _, host := range []string{f.members[0].Host, f.members[1].Host} {
 			f.store.fail(host)
 		}
--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -45,7 +45,7 @@
 	for i := range count {
 		m := catkinrun.Member{Host: string(rune('a' + i)), Zone: "z"}
 		f.members = append(f.members, m)
-		f.relayers[m.Host] = relayer.New(platform.NewStore("store", server.Client(), time.Second, log), f, f.ask, log, m)
+		f.relayers[m.Host] = relayer.New(platform.NewStore("store", server.Client(), time.Second, log), f, f.ask, clock.System{}, log, m)
 		f.seen[m.Host] = &atomic.Value{}
 	}
 	for host, r := range f.relayers {
@@ -117,7 +117,7 @@
 		return catkinrun.Page{Rows: []catkinrun.Row{{Key: "k", Value: []byte(value), Revision: revision}}, Revision: revision}
 	}
 	f := &restoredFleet{}
-	r := relayer.New(&staleStore{listings: []catkinrun.Page{row("new", 9), row("old", 5)}}, f, f.ask, discardLog(), catkinrun.Member{Host: "a", Zone: "z"})
+	r := relayer.New(&staleStore{listings: []catkinrun.Page{row("new", 9), row("old", 5)}}, f, f.ask, clock.System{}, discardLog(), catkinrun.Member{Host: "a", Zone: "z"})
 	for range 2 {
 		_, err := r.List(t.Context(), tableName)
 		is.NoErr(err)
--- a/relayer/table.go
+++ b/relayer/table.go
@@ -1,6 +1,10 @@
 package relayer
 
-import "github.com/catkinrun/catkinrun"
+import (
+	"time"
+
+	"github.com/catkinrun/catkinrun"
+)
 
 // table is a copy of a table of the store.
 type table struct {
@@ -9,7 +13,8 @@
 	revision catkinrun.Revision
 	watched  bool          // the last call was to the store itself and succeeded
 	changed  chan struct{} // closed and replaced at each change
-	turns    int           // number of requests to watchers
+	alone    bool          // the daemon watches the store itself, since no watcher has current rows
+	asOf     time.Time     // clock reading up to which all changes are known
 }
 
 // replace replaces the copy by a complete page, which may be from before the last change: a read of the
@@ -32,6 +37,23 @@
 	}
 }
 
+// apply adds the result of a watch.
+func (t *table) apply(page catkinrun.Page) {
+	if page.Complete {
+		t.replace(page)
+		return
+	}
+	t.add(page)
+}
+
+// confirm records that all changes up to a clock reading are known.
+func (t *table) confirm(asOf time.Time) {
+	if asOf.After(t.asOf) {
+		t.asOf = asOf
+		t.notify()
+	}
+}
+
 func (t *table) notify() {
 	close(t.changed)
 	t.changed = make(chan struct{})
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -19,22 +19,37 @@
 }
 
 // watchStore watches the store itself. A long watch that another response overtakes is given up, and the store is
-// asked for the changes without a wait.
+// asked for the changes without a wait. Another one ends in time to confirm the rows once in each confirmInterval.
 func (r *Relayer) watchStore(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
 	if wait < longWatch {
-		return r.Store.Watch(ctx, name, after, wait)
+		wait = max(0, min(wait, confirmInterval-r.Age(name)))
+		page, asOf, err := r.watchOnce(ctx, name, after, wait)
+		r.recordWatched(name, page, err, asOf)
+		return page, err
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.setWatch(name, &heldWatch{after: after, cancel: cancel})
-	page, err := r.Store.Watch(watchCtx, name, after, wait)
+	page, asOf, err := r.watchOnce(watchCtx, name, after, wait)
 	r.setWatch(name, nil)
 	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		return r.Store.Watch(ctx, name, after, 0)
+		page, asOf, err = r.watchOnce(ctx, name, after, 0)
 	}
+	r.recordWatched(name, page, err, asOf)
 	return page, err
 }
 
+// watchOnce makes one call to the store, and returns the clock reading up to which it shows all changes. A response
+// without rows shows that there was none in the whole wait; one with rows may have been on its way for long.
+func (r *Relayer) watchOnce(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (page catkinrun.Page, asOf time.Time, err error) {
+	asOf = r.clock.Now()
+	page, err = r.Store.Watch(ctx, name, after, wait)
+	if err == nil && len(page.Rows) == 0 && r.clock.Now().Sub(asOf) >= wait {
+		asOf = asOf.Add(wait)
+	}
+	return page, asOf, err
+}
+
 func (r *Relayer) setWatch(name string, w *heldWatch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
