Dialer: a change of protocol that nobody asked for is no response

Callers got no response, neither at the route's timeout nor at their own deadline, if the server beside their daemon answered with the head of a 101 response and went on sending, or fell silent. A 101 without "Connection: Upgrade" reached the caller as the response.

Cause: net/http takes 101 for a final response and hands its connection over, so that the request's context no longer ends reads. The check of heads allowed 100 to 599. It is the same for health checks, the store and the commands.

CheckedTransport, which all readers of responses use, now takes the codes of final responses, 200 to 599: a 101 fails at once as any other invalid response does, and its connection is closed.

The stand-in responder can trickle bytes now and counts its open connections; callers in the tests of broken responses give up after five seconds, so that a response that never comes fails the test.

--- a/daemon/invalid_response_test.go
+++ b/daemon/invalid_response_test.go
@@ -18,8 +18,12 @@
 	"github.com/catkinrun/catkinrun/syncer"
 )
 
+// invalidLimit is well above the time of a call that fails for its response, and below that of a responder that trickles.
+const invalidLimit = 2 * time.Second
+
 // TestInvalidResponsesAreNotBelieved has the store, another daemon and the server beside the daemon answer its own
-// requests, once as they should, and once with a blank in the name of a header.
+// requests, once as they should, once with a blank in the name of a header, and once with a change of the protocol
+// that nobody asked for, whose body was read until the other end closed the connection.
 func TestInvalidResponsesAreNotBelieved(t *testing.T) {
 	for _, c := range []struct {
 		name, headers, body string
@@ -55,16 +59,26 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			for headers, valid := range map[string]bool{c.headers: true, c.headers + "X-Bad Name: x\r\n": false} {
+			for _, form := range []struct {
+				head   string
+				ending responder.Ending
+				valid  bool
+			}{
+				{"HTTP/1.1 200 OK\r\n", responder.Close, true},
+				{"HTTP/1.1 200 OK\r\nX-Bad Name: x\r\n", responder.Close, false},
+				{"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: none\r\n", responder.Trickle, false},
+			} {
 				server, err := responder.New(func(r *http.Request) string {
 					_, _ = io.Copy(io.Discard, r.Body)
-					return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", headers, len(c.body), c.body)
-				}, responder.Close, clock.System{})
+					return fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", form.head, c.headers, len(c.body), c.body)
+				}, form.ending, clock.System{})
 				is.NoErr(err)
 				defer func() { _ = server.Close() }()
 				address := server.Address()
 				d, _ := newIdleDaemonOf(loader.Settings{Host: "h", Service: "s", Server: address, Store: address})
-				is.Equal(c.believes(t, d, address), valid)
+				sentAt := time.Now()
+				is.Equal(c.believes(t, d, address), form.valid)
+				is.True(time.Since(sentAt) < invalidLimit)
 			}
 		})
 	}
--- a/dialer/transport.go
+++ b/dialer/transport.go
@@ -11,8 +11,10 @@
 	// majorVersion is the major version of HTTP in which requests are sent. Text that names another one is no
 	// response to them (RFC 9110, section 2.5).
 	majorVersion = 1
-	// minStatus and maxStatus bound the status codes (RFC 9110, section 15).
-	minStatus = 100
+	// minStatus and maxStatus bound the status codes of final responses (RFC 9110, section 15). net/http skips interim ones,
+	// but takes 101 for a final one and hands the connection over, so that reads no longer end with the request's
+	// context. No request here asks for another protocol.
+	minStatus = 200
 	maxStatus = 599
 	// maxQuoted is the number of characters of a name that an error quotes, since names may be as long as the head.
 	maxQuoted = 40
--- a/dialer/transport_test.go
+++ b/dialer/transport_test.go
@@ -22,6 +22,8 @@
 	for name, head := range map[string]string{
 		"status 000":          "HTTP/1.1 000 OK\r\n",
 		"status 099":          "HTTP/1.1 099 OK\r\n",
+		"status 101":          "HTTP/1.1 101 Switching Protocols\r\n",
+		"change of protocol":  "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: none\r\n",
 		"status 600":          "HTTP/1.1 600 OK\r\n",
 		"status with a sign":  "HTTP/1.1 +20 OK\r\n",
 		"status with a minus": "HTTP/1.1 -00 OK\r\n",
--- a/filterer/broken_test.go
+++ b/filterer/broken_test.go
@@ -130,7 +130,7 @@
 	r.Header.Set("X-Request-Id", "id-1")
 	r.Header.Set("X-Deadline-Ms", "700")
 	r.Header.Set("Authorization", "Bearer "+key)
-	response, err = (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	response, err = (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}).Do(r)
 	if err != nil {
 		t.Fatal("no response: ", err)
 	}
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -23,12 +23,20 @@
 	Close                   // close the connection
 	EndStream               // end the stream of the response and read on until the other end closes the connection
 	Reset                   // reset the connection
+	Trickle                 // go on with a byte now and then until the other end closes the connection
 )
 
 // resetDelay is the time before a reset, in which the other end reads the response. A reset may destroy bytes that it
 // has not read.
 const resetDelay = 2 * time.Millisecond
 
+const (
+	// trickleInterval is the time between two bytes that trickle.
+	trickleInterval = 5 * time.Millisecond
+	// maxTrickled is the number of bytes after which a connection is closed that the other end does not close.
+	maxTrickled = 600
+)
+
 // Responder is a server that responds to each request with given bytes.
 type Responder struct {
 	socket    net.Listener
@@ -36,6 +44,7 @@
 	ending    Ending
 	clock     catkinrun.Clock
 	conns     atomic.Int64
+	open      atomic.Int64
 	responses atomic.Int64
 }
 
@@ -62,6 +71,9 @@
 // Conns returns the number of connections that were opened.
 func (r *Responder) Conns() int64 { return r.conns.Load() }
 
+// Open returns the number of connections that are open.
+func (r *Responder) Open() int64 { return r.open.Load() }
+
 // Responses returns the number of responses that were sent.
 func (r *Responder) Responses() int64 { return r.responses.Load() }
 
@@ -76,6 +88,7 @@
 			return
 		}
 		r.conns.Add(1)
+		r.open.Add(1)
 		c := &conn{responder: r, socket: socket.(*net.TCPConn)}
 		go c.run()
 	}
@@ -88,7 +101,10 @@
 
 // run responds to requests until the connection ends. Errors end it: the other end may leave at any time.
 func (c *conn) run() {
-	defer func() { _ = c.socket.Close() }()
+	defer func() {
+		_ = c.socket.Close()
+		c.responder.open.Add(-1)
+	}()
 	reader := bufio.NewReader(c.socket)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -110,6 +126,21 @@
 			_ = c.responder.clock.Wait(context.Background(), resetDelay)
 			_ = c.socket.SetLinger(0) // makes Close reset the connection
 			return
+		case Trickle:
+			c.trickle()
+			return
+		}
+	}
+}
+
+// trickle sends a byte now and then until the other end closes the connection.
+func (c *conn) trickle() {
+	for range maxTrickled {
+		if _, err := io.WriteString(c.socket, "."); err != nil {
+			return
+		}
+		if err := c.responder.clock.Wait(context.Background(), trickleInterval); err != nil {
+			return
 		}
 	}
 }
