Relayer: a response that a table catches up with confirms it too

Two daemons in three read the store themselves for the members at some changes, about once in thirteen runs of the relayer's tests: TestChangesAreReadByWatchersAlone, 18 calls in place of 0. Traced: a change of the members and a response to the watch of the configuration may arrive at a watcher at the same moment. If the response came first, the members' position was below its revision, so that it confirmed nothing, and the next confirmation came a second later.

No callers are affected by the fault but by its calls to the store: in a daemon the follower's short watch after a change confirms the members within 0.2 s.

Also: an age that is out of range can no longer overflow a comparison, and the error of a watcher that refuses says that it has no current rows.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -3,8 +3,8 @@
 //
 // A daemon that is not a watcher asks a watcher of its zone for the changes of a table. A response states as of when the
 // rows are complete, since a watcher hears nothing while its own watch waits, and notices late that it is cut off from
-// the store. If the rows that a daemon has become too old, or its watcher does not respond, it turns to another
-// watcher, which may be of the next zone, and then watches the store itself for once. A watcher that has listed the table since the
+// the store. If the rows of a daemon become too old, or its watcher does not respond, it turns to another watcher, which
+// may be of the next zone, and then watches the store itself once. A watcher that has listed the table since the
 // requested revision, because the history was dropped or the store restored, passes on all rows, so that not every
 // daemon lists it.
 package relayer
@@ -98,6 +98,7 @@
 	self    catkinrun.Member
 
 	mu      sync.Mutex
+	newest  confirmation
 	turn    int       // of the watcher that is asked, in the order of this daemon
 	turnAt  time.Time // when it became this one
 	tables  map[string]*table
@@ -105,6 +106,13 @@
 	helpers int                   // number of requests to read a table for this daemon
 }
 
+// confirmation is what a response of the store shows: it had this revision at asOf or later, so that a table whose
+// position is not below it was complete then.
+type confirmation struct {
+	revision catkinrun.Revision
+	asOf     time.Time
+}
+
 // New returns a relayer for the daemon that self describes. The clock must count the time for which the host is
 // suspended, during which the store may change.
 func New(store catkinrun.Store, members Members, ask Ask, clock catkinrun.Clock, log logrus.FieldLogger, self catkinrun.Member) *Relayer {
@@ -184,11 +192,12 @@
 	for _, limit := range askLimits(r.Age(name)) {
 		watcher := r.currentWatcher(watchers)
 		page, err := r.askWatcher(ctx, watcher, name, after, limit)
-		if err == nil || ctx.Err() != nil {
-			if err == nil {
-				r.setAlone(name, false, nil)
-			}
-			return page, err
+		if err == nil {
+			r.setAlone(name, false, nil)
+			return page, nil
+		}
+		if ctx.Err() != nil {
+			return catkinrun.Page{}, err
 		}
 		r.passOver(watcher, watchers)
 		cause = err
@@ -264,12 +273,12 @@
 	return page, nil
 }
 
-// UnusableError reports that a daemon does not watch the store at the moment.
+// UnusableError reports that a daemon has no current rows from the store at the moment.
 type UnusableError struct {
 	Host string
 }
 
-func (e *UnusableError) Error() string { return e.Host + " does not watch the store" }
+func (e *UnusableError) Error() string { return e.Host + " has no current rows from the store" }
 
 // recordRelayed adds what a watcher has responded.
 func (r *Relayer) recordRelayed(name string, page catkinrun.Page, asOf time.Time) {
@@ -295,9 +304,12 @@
 	r.overtakeLocked(name, page.Revision)
 	t.apply(page)
 	t.confirm(asOf)
-	for _, other := range r.tables {
-		if page.Revision <= other.revision { // the store has not changed since
-			other.confirm(asOf)
+	if asOf.After(r.newest.asOf) {
+		r.newest = confirmation{revision: page.Revision, asOf: asOf}
+	}
+	for _, other := range r.tables { // also one that has only now caught up with a response that came before this one
+		if r.newest.revision <= other.revision {
+			other.confirm(r.newest.asOf)
 		}
 	}
 }
@@ -321,7 +333,7 @@
 	}
 	for {
 		response, changed := r.respond(request, receivedAt)
-		if !response.Usable || response.Complete || len(response.Rows) > 0 || response.Known+request.Age >= minGain {
+		if !response.Usable || response.Complete || len(response.Rows) > 0 || response.Known >= minGain-request.Age {
 			return response, nil
 		}
 		select {
