--- a/relayer/overtaken_test.go
+++ b/relayer/overtaken_test.go
@@ -101,3 +101,45 @@
 		is.True(time.Since(writtenAt) <= follower.PromptWait)
 	})
 }
+
+// lateStore responds to the watch of "held" after heldDelay, also if it is given up meanwhile.
+type lateStore struct{ catkinrun.Store }
+
+const heldDelay = follower.PromptWait + 10*time.Millisecond
+
+func (lateStore) List(context.Context, string) (catkinrun.Page, error) {
+	return catkinrun.Page{Revision: 3}, nil
+}
+
+func (lateStore) Watch(_ context.Context, table string, _ catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
+	if table == "held" {
+		time.Sleep(heldDelay)
+		return catkinrun.Page{Rows: []catkinrun.Row{{Key: "k", Revision: 4}}, Revision: 4}, nil
+	}
+	time.Sleep(wait)
+	return catkinrun.Page{Revision: 4}, nil
+}
+
+// TestLateChangeIsConfirmedByAnEarlierResponse has the response to a watch show a change of another table just before
+// that table's own response arrives. The other table was not confirmed until the next response a second later, and daemons
+// that asked for it read the store themselves.
+func TestLateChangeIsConfirmedByAnEarlierResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := relayer.New(lateStore{}, nobody{}, nil, clock.System{}, discardLog(), catkinrun.Member{Host: "h", Zone: "z"})
+		for _, table := range []string{"held", "other"} {
+			_, err := r.List(t.Context(), table)
+			is.NoErr(err)
+		}
+		done := make(chan error, 1)
+		go func() {
+			_, err := r.Watch(t.Context(), "held", 3, follower.LongWait)
+			done <- err
+		}()
+		_, err := r.Watch(t.Context(), "other", 3, follower.PromptWait)
+		is.NoErr(err)
+		is.True(r.Age("held") >= follower.PromptWait) // the change is not known yet
+		is.NoErr(<-done)
+		is.Equal(r.Age("held"), heldDelay-follower.PromptWait) // since the response to the other watch
+	})
+}
