Relayer: a response at the end of its wait confirms the rows

Callers saw nothing; the store saw a second call after each watch, and rows looked a second old until it. The wait of a watch is sent in whole milliseconds and was compared, on return, with the unrounded one, so that on a quick machine a response could come "too early" and confirm nothing newer than its request. The same with a store whose clock runs faster. A response counts for the time that has passed, if that is at most 15 ms short of the wait.

--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -12,6 +12,10 @@
 // connection that stays open. Shorter ones end soon by themselves.
 const longWatch = 2 * time.Second
 
+// waitTolerance is how much earlier than requested the response may come that ends a wait: waits are sent in whole
+// milliseconds, and the clocks of store and daemon differ in speed and resolution.
+const waitTolerance = 15 * time.Millisecond
+
 // heldWatch is a watch that the store holds until a change.
 type heldWatch struct {
 	after  catkinrun.Revision
@@ -44,8 +48,8 @@
 func (r *Relayer) watchOnce(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (page catkinrun.Page, asOf time.Time, err error) {
 	asOf = r.clock.Now()
 	page, err = r.Store.Watch(ctx, name, after, wait)
-	if err == nil && len(page.Rows) == 0 && r.clock.Now().Sub(asOf) >= wait {
-		asOf = asOf.Add(wait)
+	if took := r.clock.Now().Sub(asOf); err == nil && len(page.Rows) == 0 && took >= wait-waitTolerance {
+		asOf = asOf.Add(min(wait, took))
 	}
 	return page, asOf, err
 }
