Relayer: watches of zones end in turn, and a standby reads the store before all others do

Cause of both under pauses: after a response was overdue, daemons waited one thing after the other, 1 s for a confirmation, 0.4 s of slack, 0.2 s for a second watcher that was as blind as the first, and then each of them made a first call to the store and waited for that alone. Watchers of all zones were in step, so that no daemon knew more than the one that was asked. A second spent on one call made the change late, and a store that responded to nobody for 0.6 s looked like the failure of all watchers, so that everyone called it.

Now the watches of the zones end at offsets, counted from the last change, and watchers exchange what they have, rows and confirmations: with three zones the rows of each watcher are a third of a second old at most. One daemon of the fleet, the standby (one more for 300 hosts), watches the store if no watcher confirms the rows 0.4 s after the usual time, and watchers and daemons ask it. All others call the store at an age of 1.6 s, as before, and go on asking the standby meanwhile. Each daemon logs one line, "rows came late", with whom it asked at which age of its rows.

TestWatchInsteadOfAWatcherIsShort expected each daemon to call the store once the watchers fail; it now has the standby fail as well and expects it of the same number of daemons.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -157,7 +157,7 @@
 		Stopping: d.stopping.Load, Clock: d.clock, Journal: d.journal,
 	}
 	d.gateway = filterer.NewGateway(deps, rand.Float64, d.recordRequest)
-	d.services = []suture.Service{d.journal, d.configuration, d.members, d.registrar, d.prober, d.broker, d.limiter, d.syncer, d.admitter}
+	d.services = []suture.Service{d.journal, d.configuration, d.members, relayer.NewSharer(d.relayer, platform.ConfigurationTable), relayer.NewSharer(d.relayer, locator.Table), d.registrar, d.prober, d.broker, d.limiter, d.syncer, d.admitter}
 	d.registerMetrics()
 }
 
--- a/relayer/asker.go
+++ b/relayer/asker.go
@@ -26,16 +26,77 @@
 	r.log.WithFields(fields).Info("relayer: a watcher has current rows again")
 }
 
-// askLimits returns how long to wait for the current watcher and then for the next one, for a daemon whose rows have
-// an age. One whose rows are too old already, after its start or an outage, has no watcher to wait for.
-func askLimits(age time.Duration) []time.Duration {
-	switch {
-	case age < maxSilence:
-		return []time.Duration{maxSilence - age, askTime}
+// Watch implements catkinrun.Store.
+func (r *Relayer) Watch(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
+	roles := r.currentRoles()
+	if roles.isWatcher || len(roles.watchers) == 0 {
+		return r.watchStore(ctx, name, after, wait)
+	}
+	attempts := attempts{table: name}
+	gain := followGain
+	if roles.isStandby {
+		gain = minGain
+	}
+	for _, limit := range r.askLimits(name) {
+		watcher := r.currentWatcher(roles.watchers)
+		page, err := r.tryWatcher(ctx, watcher, &Request{Table: name, After: after, Gain: gain}, limit, &attempts)
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+		r.passOver(watcher, roles.watchers)
+		gain = turnGain
+	}
+	if limit := maxAge - r.Age(name); roles.standby.Host != "" && limit > 0 {
+		page, err := r.tryWatcher(ctx, roles.standby, &Request{Table: name, After: after, Gain: turnGain, Relayed: true}, limit, &attempts)
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+	}
+	r.setAlone(name, true, attempts.cause)
+	fallback := newFallback(r, name, after)
+	page, err := fallback.watch(ctx, min(wait, confirmInterval), roles.standby)
+	attempts.add(fallback.source, fallback.startAge, err)
+	r.logLate(&attempts)
+	return page, err
+}
+
+// askLimits returns how long to wait for the current watcher and then for the next one. A daemon whose rows are too old
+// already, after its start or an outage, has no watcher to wait for.
+func (r *Relayer) askLimits(name string) []time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tableLocked(name)
+	age := r.clock.Now().Sub(t.asOf)
+	switch patience := t.patience(); {
+	case age < patience:
+		return []time.Duration{patience - age, askTime}
 	case age < maxAge:
-		return []time.Duration{maxAge - age}
+		return []time.Duration{askTime}
 	}
-	return []time.Duration{askTime, askTime}
+	return []time.Duration{startAskTime, startAskTime}
+}
+
+// isLate reports whether the rows of a table are older than they usually become.
+func (r *Relayer) isLate(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tableLocked(name)
+	return r.clock.Now().Sub(t.asOf) >= t.patience()
+}
+
+// tryWatcher asks a watcher, and records the attempt and what came of it.
+func (r *Relayer) tryWatcher(ctx context.Context, watcher catkinrun.Member, request *Request, limit time.Duration, attempts *attempts) (catkinrun.Page, error) {
+	request.Age = r.Age(request.Table)
+	page, err := r.askWatcher(ctx, watcher, request, limit)
+	if err == nil && len(page.Rows) == 0 && !page.Complete && r.isLate(request.Table) {
+		err = &UnusableError{Host: watcher.Host}
+	}
+	attempts.add(watcher.Host, request.Age, err)
+	if err == nil {
+		r.setAlone(request.Table, false, nil)
+		r.logLate(attempts)
+	}
+	return page, err
 }
 
 // currentWatcher returns the watcher whose turn it is. After a while a daemon returns to the first one, which is of its
@@ -58,12 +119,12 @@
 	}
 }
 
-// askWatcher asks a watcher for the changes of a table and records what it responds within limit.
-func (r *Relayer) askWatcher(ctx context.Context, watcher catkinrun.Member, name string, after catkinrun.Revision, limit time.Duration) (catkinrun.Page, error) {
+// askWatcher sends a request to a watcher and records what it responds within limit.
+func (r *Relayer) askWatcher(ctx context.Context, watcher catkinrun.Member, request *Request, limit time.Duration) (catkinrun.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	sentAt, age := r.clock.Now(), r.Age(name)
-	response, err := r.ask(ctx, watcher, &Request{Table: name, After: after, Age: age})
+	sentAt := r.clock.Now()
+	response, err := r.ask(ctx, watcher, request)
 	if err != nil {
 		return catkinrun.Page{}, err
 	}
@@ -72,10 +133,17 @@
 	}
 	page := catkinrun.Page{Rows: response.Rows, Revision: response.Revision, Complete: response.Complete}
 	asOf := sentAt.Add(min(response.Known, r.clock.Now().Sub(sentAt)))
-	r.recordRelayed(name, page, asOf)
+	r.recordRelayed(request.Table, page, asOf)
 	return page, nil
 }
 
+// observeAgeLocked records the age that the rows of a table have reached when they are confirmed without a change.
+func (r *Relayer) observeAgeLocked(t *table, page catkinrun.Page, asOf time.Time) {
+	if len(page.Rows) == 0 && asOf.After(t.asOf) {
+		t.observeAge(r.clock.Now().Sub(t.asOf))
+	}
+}
+
 // UnusableError reports that a daemon has no current rows from the store at the moment.
 type UnusableError struct {
 	Host string
@@ -88,7 +156,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
-	t.watched = false
+	t.watched, t.failed = false, false
+	r.observeAgeLocked(t, page, asOf)
 	t.apply(page)
 	t.confirm(asOf)
 	t.notify() // daemons that wait here have to turn to another watcher
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -3,10 +3,11 @@
 //
 // A daemon that is not a watcher asks a watcher of its zone for the changes of a table. A response states as of when the
 // rows are complete, since a watcher hears nothing while its own watch waits, and notices late that it is cut off from
-// the store. If the rows of a daemon become too old, or its watcher does not respond, it turns to another watcher, which
-// may be of the next zone, and then watches the store itself once. A watcher that has listed the table since the
-// requested revision, because the history was dropped or the store restored, passes on all rows, so that not every
-// daemon lists it.
+// the store. If the rows of a daemon become older than they usually do, or its watcher does not respond, it turns to
+// another watcher, which may be of the next zone. If that has no newer rows either, one daemon of the fleet, the standby,
+// watches the store for all. A daemon that gets nothing from the standby watches the store itself once. A watcher that
+// has listed the table since the requested revision, because the history was dropped or the store restored, passes on
+// all rows, so that not every daemon lists it.
 package relayer
 
 import (
@@ -35,27 +36,33 @@
 )
 
 // A configuration must be in force two seconds after it is written, even if all watchers are cut off from the store at
-// that moment. A daemon that can read the store has it after confirmInterval + confirmSlack + askTime and one call to
-// the store, which leaves 0.4 s for that call.
+// that moment. With three zones some watcher has a confirmation in each third of a second, and the standby reads the store
+// 0.8 s after the last one. If the standby is cut off too, all others read the store after maxAge, which leaves 0.4 s.
 const (
 	// confirmInterval is the time after which a watcher has a response of the store that confirms its rows.
 	confirmInterval = follower.PromptWait
-	// confirmSlack is how much later the confirmation may arrive at a daemon that asks the watcher. The store may be
-	// slow, and watcher and daemon busy.
-	confirmSlack = 400 * time.Millisecond
-	// maxSilence is the age of a daemon's rows from which it does not wait for its watcher any longer, and the age of its
-	// own rows from which a watcher refuses to pass them on.
-	maxSilence = confirmInterval + confirmSlack
+	// lateMargin is how much older than usual the rows of a daemon become before it turns to another watcher. The store may
+	// be slow, and watcher and daemon busy.
+	lateMargin = 400 * time.Millisecond
+	// maxSilence is the age of a daemon's rows from which it does not wait for its watcher any longer, however late
+	// confirmations usually are.
+	maxSilence = confirmInterval + lateMargin
 	// askTime is how long the daemon then waits for another watcher, which responds at once if it has newer rows.
-	askTime = 200 * time.Millisecond
-	// maxAge is the age of its rows at which a daemon watches the store itself.
-	maxAge = maxSilence + askTime
-	// holdTime is how long a watcher holds a request at most: a little longer than the time between two confirmations.
+	askTime = 50 * time.Millisecond
+	// maxAge is the age of its rows at which a daemon watches the store itself, and the age of its own rows from which it
+	// refuses to pass them on.
+	maxAge = 1600 * time.Millisecond
+	// startAskTime is how long a daemon whose rows are older, after its start or an outage, waits for a watcher.
+	startAskTime = 200 * time.Millisecond
+	// holdTime is how long a daemon holds a request at most: a little longer than the time between two confirmations.
 	holdTime = confirmInterval + 50*time.Millisecond
 	// listTimeout is the time after which another daemon counts as unable to read a table.
 	listTimeout = 1100 * time.Millisecond
-	// minGain is how much newer the rows of a watcher must be for an early response without changes.
-	minGain = 200 * time.Millisecond
+	// minGain is how much newer the rows of a daemon must be for an early response without changes to watchers and the
+	// standby. Others wait for followGain, which saves exchanges, except where they turn to another daemon.
+	minGain    = 200 * time.Millisecond
+	followGain = 600 * time.Millisecond
+	turnGain   = 50 * time.Millisecond
 )
 
 // Request asks a watcher for the changes of a table after a revision, or any daemon to read all of a
@@ -65,6 +72,10 @@
 	After catkinrun.Revision `cbor:"after"`
 	List  bool               `cbor:"list,omitempty"`
 	Age   time.Duration      `cbor:"age,omitempty"` // of the requesting daemon's rows
+	// Gain is how much newer the rows must be for an early response without changes, minGain if it is zero.
+	Gain time.Duration `cbor:"gain,omitempty"`
+	// Relayed reports that rows which the daemon has through a watcher will do.
+	Relayed bool `cbor:"relayed,omitempty"`
 }
 
 // Response has the changed rows, or all rows.
@@ -104,6 +115,9 @@
 	tables  map[string]*table
 	watches map[string]*heldWatch // by table, the long ones that the store holds now
 	helpers int                   // number of requests to read a table for this daemon
+	roles   roles
+	// watchEnd is the end of a short watch, and others end whole intervals later; zero before the first change.
+	watchEnd time.Time
 }
 
 // confirmation is what a response of the store shows: it had this revision at asOf or later, so that a table whose
@@ -139,7 +153,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
-	t.watched = direct
+	t.watched, t.failed = direct, err != nil
 	if err == nil {
 		t.replace(page)
 		t.confirm(sentAt)
@@ -182,37 +196,12 @@
 	return catkinrun.Page{Rows: response.Rows, Revision: response.Revision}, nil
 }
 
-// Watch implements catkinrun.Store.
-func (r *Relayer) Watch(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
-	watchers, isWatcher := watchersFor(r.self, r.members.Members())
-	if isWatcher || len(watchers) == 0 {
-		return r.watchStore(ctx, name, after, wait)
-	}
-	var cause error
-	for _, limit := range askLimits(r.Age(name)) {
-		watcher := r.currentWatcher(watchers)
-		page, err := r.askWatcher(ctx, watcher, name, after, limit)
-		if err == nil {
-			r.setAlone(name, false, nil)
-			return page, nil
-		}
-		if ctx.Err() != nil {
-			return catkinrun.Page{}, err
-		}
-		r.passOver(watcher, watchers)
-		cause = err
-		r.log.WithError(err).WithFields(logrus.Fields{"watcher": watcher.Host, "table": name, "age_ms": r.Age(name).Milliseconds()}).Debug("relayer: watcher passed over")
-	}
-	r.setAlone(name, true, cause)
-	return r.watchStore(ctx, name, after, min(wait, confirmInterval))
-}
-
 // recordWatched adds the result of a watch of the store, which shows all changes up to asOf.
 func (r *Relayer) recordWatched(name string, page catkinrun.Page, err error, asOf time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(name)
-	t.watched = err == nil
+	t.watched, t.failed = err == nil, err != nil
 	if err != nil {
 		t.notify() // daemons that wait here have to turn to another watcher
 		return
@@ -233,7 +222,7 @@
 func (r *Relayer) tableLocked(name string) *table {
 	t, ok := r.tables[name]
 	if !ok {
-		t = &table{rows: make(map[string]catkinrun.Row), changed: make(chan struct{})}
+		t = &table{rows: make(map[string]catkinrun.Row), changed: make(chan struct{}), usualAge: maxSilence}
 		r.tables[name] = t
 	}
 	return t
@@ -247,9 +236,10 @@
 	if request.List {
 		return r.listFor(ctx, request.Table), nil
 	}
+	gain := cmp.Or(request.Gain, minGain)
 	for {
 		response, changed := r.respond(request, receivedAt)
-		if !response.Usable || response.Complete || len(response.Rows) > 0 || response.Known >= minGain-request.Age {
+		if !response.Usable || response.Complete || len(response.Rows) > 0 || response.Known >= gain-request.Age {
 			return response, nil
 		}
 		select {
@@ -276,7 +266,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tableLocked(request.Table)
-	usable := t.watched && r.clock.Now().Sub(t.asOf) < maxSilence
+	usable := t.watched && r.clock.Now().Sub(t.asOf) < maxAge || request.Relayed && !t.failed && t.listed()
 	response = &Response{Revision: t.revision, Usable: usable, Complete: usable && request.After < t.listedAt, Known: t.asOf.Sub(receivedAt)}
 	if !response.Usable {
 		return response, t.changed
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -37,12 +37,15 @@
 	down     map[string]bool          // by host: calls fail
 	silent   map[string]bool          // by host: responses to watches are lost
 	delay    time.Duration            // of each response
+	pausedTo time.Time                // no response leaves before
+	calledAt map[string]time.Time     // by host: the last watch
+	dialTime time.Duration            // that the first watch of a host in a while takes in addition
 }
 
 func newStore() *store {
 	return &store{
 		revision: 1, written: map[string]catkinrun.Revision{tableName: 1, promptName: 1}, changed: make(chan struct{}),
-		byHost: make(map[string]int), waits: make(map[string]time.Duration), down: make(map[string]bool), silent: make(map[string]bool),
+		byHost: make(map[string]int), waits: make(map[string]time.Duration), down: make(map[string]bool), silent: make(map[string]bool), calledAt: make(map[string]time.Time),
 	}
 }
 
@@ -79,6 +82,55 @@
 	return s.delay
 }
 
+// pause has the store respond to nobody for a time.
+func (s *store) pause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pausedTo = time.Now().Add(d)
+}
+
+// respond returns when a response may leave.
+func (s *store) respond() {
+	time.Sleep(s.responseDelay())
+	s.mu.Lock()
+	pausedTo := s.pausedTo
+	s.mu.Unlock()
+	time.Sleep(time.Until(pausedTo))
+}
+
+// connect takes dialTime if a host has not called for some seconds.
+func (s *store) connect(host string) {
+	s.mu.Lock()
+	slow := time.Since(s.calledAt[host]) > idleConnTime
+	s.calledAt[host] = time.Now()
+	dialTime := s.dialTime
+	s.mu.Unlock()
+	if slow {
+		time.Sleep(dialTime)
+	}
+}
+
+// idleConnTime is the time after which a host needs a new connection to the store.
+const idleConnTime = 5 * time.Second
+
+func (s *store) setDialTime(dialTime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dialTime = dialTime
+}
+
+// callers returns the hosts that have watched a table since a time, besides some.
+func (s *store) callers(since time.Time, besides []string) (hosts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for host, at := range s.calledAt {
+		if !at.Before(since) && !slices.Contains(besides, host) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 func (s *store) fail(host string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,6 +193,7 @@
 	v.byHost[v.host]++
 	v.waits[v.host] = wait
 	v.mu.Unlock()
+	v.connect(v.host)
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
@@ -151,7 +204,7 @@
 			return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch"}
 		}
 		if err != nil || isNew {
-			time.Sleep(v.responseDelay())
+			v.respond()
 			return page, err
 		}
 		select {
@@ -164,7 +217,7 @@
 				time.Sleep(storeTimeout)
 				return catkinrun.Page{}, &catkinrun.StoreError{Operation: "watch"}
 			}
-			time.Sleep(v.responseDelay())
+			v.respond()
 			return catkinrun.Page{Revision: page.Revision}, nil
 		}
 	}
@@ -216,6 +269,9 @@
 			return nil, err
 		}
 	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err() // the response is late
+	}
 	return response, err
 }
 
@@ -257,6 +313,10 @@
 	for _, d := range f.daemons {
 		go d.run(ctx, tableName, follower.LongWait)
 		go d.run(ctx, promptName, follower.PromptWait)
+		for _, table := range []string{tableName, promptName} {
+			sharer := relayer.NewSharer(d.relayer, table)
+			go func() { _ = sharer.Serve(ctx) }()
+		}
 	}
 	t.Cleanup(func() { cancel(); time.Sleep(2 * storeTimeout) }) // sleeping daemons end
 	time.Sleep(30 * time.Second)                                 // the watches with which all daemons began have ended
@@ -275,22 +335,28 @@
 	return hosts
 }
 
-// TestWatchInsteadOfAWatcherIsShort has all watchers fail, and checks how long the other daemons have the
-// store hold their watches. The store may be silent, so that they learn only afterwards that it has not
-// received them.
+// TestWatchInsteadOfAWatcherIsShort has all watchers fail and then the daemon that watches the store in their place, and
+// checks how long the other daemons have the store hold their watches. The store may be silent, so that they learn only
+// afterwards that it has not received them.
 func TestWatchInsteadOfAWatcherIsShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := startFleet(t, 6, "z")
-		for _, host := range f.watchers() {
+		failed := f.watchers()
+		for _, host := range failed {
 			f.store.fail(host)
 		}
+		failedAt := time.Now()
 		time.Sleep(30 * time.Second) // their watches have ended
+		standbys := f.store.callers(failedAt, failed)
+		is.Equal(len(standbys), 1)
+		f.store.fail(standbys[0])
+		time.Sleep(30 * time.Second)
 		f.store.mu.Lock()
 		defer f.store.mu.Unlock()
 		short := 0
 		for host, wait := range f.store.waits {
-			if !f.store.down[host] {
+			if host == standbys[0] || !f.store.down[host] {
 				is.True(wait <= time.Second)
 				short++
 			}
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -16,6 +16,13 @@
 // milliseconds, and the clocks of store and daemon differ in speed and resolution.
 const waitTolerance = 15 * time.Millisecond
 
+const (
+	// minWatch is how long a watch takes at least that ends at the daemon's offset.
+	minWatch = 50 * time.Millisecond
+	// firstWatch is how long after a change the first watch ends. The change itself confirms no rows up to its arrival.
+	firstWatch = 100 * time.Millisecond
+)
+
 // heldWatch is a watch that the store holds until a change.
 type heldWatch struct {
 	after  catkinrun.Revision
@@ -26,9 +33,14 @@
 // asked for the changes without a wait. Another one ends in time to confirm the rows once in each confirmInterval.
 func (r *Relayer) watchStore(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
 	if wait < longWatch {
-		wait = max(0, min(wait, confirmInterval-r.Age(name)))
+		wait = max(0, min(wait, confirmInterval-r.Age(name), r.untilWatchEnds()))
 		page, asOf, err := r.watchOnce(ctx, name, after, wait)
-		r.recordWatched(name, page, err, asOf)
+		if err == nil && len(page.Rows) > 0 {
+			r.alignWatches()
+		}
+		if err == nil || ctx.Err() == nil {
+			r.recordWatched(name, page, err, asOf)
+		}
 		return page, err
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
@@ -43,6 +55,26 @@
 	return page, err
 }
 
+// alignWatches records the arrival of a change, which all watchers see at about the same time. Their later watches end at
+// whole intervals after it, each zone's at an offset of its own.
+func (r *Relayer) alignWatches() {
+	offset := r.currentRoles().offset
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchEnd = r.clock.Now().Add(firstWatch + offset)
+}
+
+// untilWatchEnds returns how long the next short watch may take.
+func (r *Relayer) untilWatchEnds() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.watchEnd.IsZero() {
+		return confirmInterval
+	}
+	since := r.clock.Now().Add(minWatch).Sub(r.watchEnd)
+	return minWatch + confirmInterval - (since%confirmInterval+confirmInterval)%confirmInterval
+}
+
 // watchOnce makes one call to the store, and returns the clock reading up to which it shows all changes. A response
 // without rows shows that there was none in the whole wait; one with rows may have been on its way for long.
 func (r *Relayer) watchOnce(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (page catkinrun.Page, asOf time.Time, err error) {
