Relayer: the watchers of all zones are found in one pass, and the sharer has one rule for going on

Finding the standby worked out the watchers of a zone once for each candidate, which copies all members twice: with 13,000 hosts and 44 standbys some 90 copies a second at each daemon. It is one copy now. The sharer told apart three errors to know whether it had waited; the time that has passed says so.

--- a/relayer/sharer.go
+++ b/relayer/sharer.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/catkinrun/catkinrun"
 )
 
@@ -47,18 +45,15 @@
 			return false // the table has not been read yet, or the store is away
 		}
 		askedAt := r.clock.Now()
-		err := s.ask(ctx, peer, gain, limit)
-		if err == nil {
+		if s.ask(ctx, peer, gain, limit) == nil {
 			return true
 		}
-		var staleErr *StaleError
-		late := r.isLate(s.table)
-		waited := errors.Is(err, context.DeadlineExceeded) || errors.As(err, &staleErr) && r.clock.Now().Sub(askedAt) >= turnGain
-		if waited && !late {
-			return true // the daemon's own watch has confirmed the rows meanwhile
-		}
-		if late {
+		if r.isLate(s.table) {
 			gain = turnGain
+			continue
+		}
+		if r.clock.Now().Sub(askedAt) >= turnGain {
+			return true // the daemon's own watch has confirmed the rows meanwhile
 		}
 	}
 	limit := maxAge - r.Age(s.table)
@@ -86,9 +81,6 @@
 	sentAt := r.clock.Now()
 	request := &Request{Table: s.table, After: r.revision(s.table), Age: r.Age(s.table), Gain: gain, Relayed: true}
 	response, err := r.ask(ctx, member, request)
-	if err != nil && ctx.Err() != nil {
-		return ctx.Err()
-	}
 	if err != nil {
 		return err
 	}
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -12,11 +12,10 @@
 // connection that stays open. Shorter ones end soon by themselves.
 const longWatch = 2 * time.Second
 
-// waitTolerance is how much earlier than requested the response may come that ends a wait: waits are sent in whole
-// milliseconds, and the clocks of store and daemon differ in speed and resolution.
-const waitTolerance = 15 * time.Millisecond
-
 const (
+	// waitTolerance is how much earlier than requested the response may come that ends a wait: waits are sent in whole
+	// milliseconds, and the clocks of store and daemon differ in speed and resolution.
+	waitTolerance = 15 * time.Millisecond
 	// minWatch is how long a watch takes at least that ends at the daemon's offset.
 	minWatch = 50 * time.Millisecond
 	// firstWatch is how long after a change the first watch ends. The change itself confirms no rows up to its arrival.
@@ -64,15 +63,19 @@
 	r.watchEnd = r.clock.Now().Add(firstWatch + offset)
 }
 
-// untilWatchEnds returns how long the next short watch may take.
+// untilWatchEnds returns how long the next short watch may take: until the next of the daemon's ends that is at least
+// minWatch away.
 func (r *Relayer) untilWatchEnds() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.watchEnd.IsZero() {
 		return confirmInterval
 	}
-	since := r.clock.Now().Add(minWatch).Sub(r.watchEnd)
-	return minWatch + confirmInterval - (since%confirmInterval+confirmInterval)%confirmInterval
+	passed := r.clock.Now().Add(minWatch).Sub(r.watchEnd) % confirmInterval // of the interval that runs after minWatch
+	if passed < 0 {
+		passed += confirmInterval
+	}
+	return minWatch + confirmInterval - passed
 }
 
 // watchOnce makes one call to the store, and returns the clock reading up to which it shows all changes. A response
--- a/relayer/watcher.go
+++ b/relayer/watcher.go
@@ -15,11 +15,7 @@
 // other zone, its own has a watcher more.
 func watchersFor(self catkinrun.Member, members []catkinrun.Member) (watchers []catkinrun.Member, isWatcher bool) {
 	next, ok := zoneAfter(self.Zone, members)
-	count := minWatchers
-	if ok {
-		count--
-	}
-	own := watchersOf(self.Zone, members, count)
+	own := watchersOf(self.Zone, members, leastWatchers(ok))
 	isWatcher = slices.ContainsFunc(own, func(m catkinrun.Member) bool { return m.Host == self.Host })
 	watchers = inOrder("asked by "+self.Host, own) // the daemons of a zone spread over its watchers
 	if ok {
@@ -117,14 +113,39 @@
 func standbysOf(members []catkinrun.Member) []catkinrun.Member {
 	present := slices.DeleteFunc(slices.Clone(members), func(m catkinrun.Member) bool { return m.Leaving })
 	count := 1 + len(present)/hostsPerWatcher
+	watching := watchingHosts(present)
 	var standbys []catkinrun.Member
 	for _, m := range inOrder("standby", present) {
 		if len(standbys) == count {
 			break
 		}
-		if _, isWatcher := watchersFor(m, present); !isWatcher {
+		if !watching[m.Host] {
 			standbys = append(standbys, m)
 		}
 	}
 	return standbys
 }
+
+// watchingHosts returns the hosts of all watchers.
+func watchingHosts(members []catkinrun.Member) map[string]bool {
+	zones := make(map[string][]catkinrun.Member)
+	for _, m := range members {
+		zones[m.Zone] = append(zones[m.Zone], m)
+	}
+	hosts := make(map[string]bool)
+	for zone, list := range zones {
+		for _, m := range watchersOf(zone, list, leastWatchers(len(zones) > 1)) {
+			hosts[m.Host] = true
+		}
+	}
+	return hosts
+}
+
+// leastWatchers returns how many watchers a zone has at least. The daemons of one of several zones know the first watcher
+// of the next zone as well.
+func leastWatchers(severalZones bool) int {
+	if severalZones {
+		return minWatchers - 1
+	}
+	return minWatchers
+}
