Relayer: one place judges a response that leaves the rows late; no variable hides a type

Read as a newcomer: Watch and the fallback judged a response without changes each by itself, and three variables had the names of their types.

--- a/relayer/asker.go
+++ b/relayer/asker.go
@@ -28,35 +28,35 @@
 
 // Watch implements catkinrun.Store.
 func (r *Relayer) Watch(ctx context.Context, name string, after catkinrun.Revision, wait time.Duration) (catkinrun.Page, error) {
-	roles := r.currentRoles()
-	if roles.isWatcher || len(roles.watchers) == 0 {
+	view := r.currentRoles()
+	if view.isWatcher || len(view.watchers) == 0 {
 		return r.watchStore(ctx, name, after, wait)
 	}
-	attempts := attempts{table: name}
+	tried := attempts{table: name}
 	gain := followGain
-	if roles.isStandby {
+	if view.isStandby {
 		gain = minGain
 	}
 	for _, limit := range r.askLimits(name) {
-		watcher := r.currentWatcher(roles.watchers)
-		page, err := r.tryWatcher(ctx, watcher, &Request{Table: name, After: after, Gain: gain}, limit, &attempts)
+		watcher := r.currentWatcher(view.watchers)
+		page, err := r.tryWatcher(ctx, watcher, &Request{Table: name, After: after, Gain: gain}, limit, &tried)
 		if err == nil || ctx.Err() != nil {
 			return page, err
 		}
-		r.passOver(watcher, roles.watchers)
+		r.passOver(watcher, view.watchers)
 		gain = turnGain
 	}
-	if limit := maxAge - r.Age(name); roles.standby.Host != "" && limit > 0 {
-		page, err := r.tryWatcher(ctx, roles.standby, &Request{Table: name, After: after, Gain: turnGain, Relayed: true}, limit, &attempts)
+	if limit := maxAge - r.Age(name); view.standby.Host != "" && limit > 0 {
+		page, err := r.tryWatcher(ctx, view.standby, &Request{Table: name, After: after, Gain: turnGain, Relayed: true}, limit, &tried)
 		if err == nil || ctx.Err() != nil {
 			return page, err
 		}
 	}
-	r.setAlone(name, true, attempts.cause)
-	fallback := newFallback(r, name, after)
-	page, err := fallback.watch(ctx, min(wait, confirmInterval), roles.standby)
-	attempts.add(fallback.source, fallback.startAge, err)
-	r.logLate(&attempts)
+	r.setAlone(name, true, tried.cause)
+	f := newFallback(r, name, after)
+	page, err := f.watch(ctx, min(wait, confirmInterval), view.standby)
+	tried.add(f.source, f.startAge, err)
+	r.logLate(&tried)
 	return page, err
 }
 
@@ -85,16 +85,13 @@
 }
 
 // tryWatcher asks a watcher, and records the attempt and what came of it.
-func (r *Relayer) tryWatcher(ctx context.Context, watcher catkinrun.Member, request *Request, limit time.Duration, attempts *attempts) (catkinrun.Page, error) {
+func (r *Relayer) tryWatcher(ctx context.Context, watcher catkinrun.Member, request *Request, limit time.Duration, tried *attempts) (catkinrun.Page, error) {
 	request.Age = r.Age(request.Table)
 	page, err := r.askWatcher(ctx, watcher, request, limit)
-	if err == nil && len(page.Rows) == 0 && !page.Complete && r.isLate(request.Table) {
-		err = &UnusableError{Host: watcher.Host}
-	}
-	attempts.add(watcher.Host, request.Age, err)
+	tried.add(watcher.Host, request.Age, err)
 	if err == nil {
 		r.setAlone(request.Table, false, nil)
-		r.logLate(attempts)
+		r.logLate(tried)
 	}
 	return page, err
 }
@@ -119,7 +116,8 @@
 	}
 }
 
-// askWatcher sends a request to a watcher and records what it responds within limit.
+// askWatcher sends a request to a watcher and records what it responds within limit. It fails if that is no change and
+// leaves the rows late.
 func (r *Relayer) askWatcher(ctx context.Context, watcher catkinrun.Member, request *Request, limit time.Duration) (catkinrun.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -134,6 +132,9 @@
 	page := catkinrun.Page{Rows: response.Rows, Revision: response.Revision, Complete: response.Complete}
 	asOf := sentAt.Add(min(response.Known, r.clock.Now().Sub(sentAt)))
 	r.recordRelayed(request.Table, page, asOf)
+	if len(page.Rows) == 0 && !page.Complete && r.isLate(request.Table) {
+		return catkinrun.Page{}, &UnusableError{Host: watcher.Host}
+	}
 	return page, nil
 }
 
--- a/relayer/fallback.go
+++ b/relayer/fallback.go
@@ -59,8 +59,5 @@
 func (f *fallback) runStandby(ctx context.Context, standby catkinrun.Member) {
 	request := &Request{Table: f.table, After: f.after, Age: f.relayer.Age(f.table), Gain: turnGain, Relayed: true}
 	page, err := f.relayer.askWatcher(ctx, standby, request, holdTime)
-	if err == nil && len(page.Rows) == 0 && !page.Complete && f.relayer.isLate(f.table) {
-		err = &UnusableError{Host: standby.Host}
-	}
 	f.standby <- fallbackResult{page, err}
 }
--- a/relayer/roles.go
+++ b/relayer/roles.go
@@ -40,15 +40,15 @@
 
 // rolesOf returns the roles in a list of members.
 func rolesOf(self catkinrun.Member, members []catkinrun.Member) roles {
-	var x roles
-	x.watchers, x.isWatcher = watchersFor(self, members)
-	if x.isWatcher {
-		x.peers, x.offset = peersFor(self, members), watchOffset(self, members)
+	var view roles
+	view.watchers, view.isWatcher = watchersFor(self, members)
+	if view.isWatcher {
+		view.peers, view.offset = peersFor(self, members), watchOffset(self, members)
 	}
 	standbys := standbysOf(members)
-	x.isStandby = slices.ContainsFunc(standbys, func(m catkinrun.Member) bool { return m.Host == self.Host })
-	if len(standbys) > 0 && !x.isStandby {
-		x.standby = inOrder("asked by "+self.Host, standbys)[0]
+	view.isStandby = slices.ContainsFunc(standbys, func(m catkinrun.Member) bool { return m.Host == self.Host })
+	if len(standbys) > 0 && !view.isStandby {
+		view.standby = inOrder("asked by "+self.Host, standbys)[0]
 	}
-	return x
+	return view
 }
--- a/relayer/sharer.go
+++ b/relayer/sharer.go
@@ -34,12 +34,12 @@
 // share asks the other watchers in turn and then the standby, and reports whether one of them had newer rows.
 func (s *Sharer) share(ctx context.Context) bool {
 	r := s.relayer
-	roles := r.currentRoles()
-	if !roles.isWatcher {
+	view := r.currentRoles()
+	if !view.isWatcher {
 		return false
 	}
 	gain := minGain
-	for _, peer := range roles.peers {
+	for _, peer := range view.peers {
 		limit := s.limit()
 		if limit <= 0 {
 			return false // the table has not been read yet, or the store is away
@@ -57,7 +57,10 @@
 		}
 	}
 	limit := maxAge - r.Age(s.table)
-	return roles.standby.Host != "" && limit > 0 && r.isLate(s.table) && s.ask(ctx, roles.standby, turnGain, limit) == nil
+	if view.standby.Host == "" || limit <= 0 || !r.isLate(s.table) {
+		return false
+	}
+	return s.ask(ctx, view.standby, turnGain, limit) == nil
 }
 
 // limit returns how long the daemon waits for the confirmation that is due next, 0 if its rows are too old already.
