--- a/relayer/late_test.go
+++ b/relayer/late_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// TestShortPauseOfTheStoreSendsOneDaemonThere has the store respond to nobody for 0.8 s. All daemons called it then,
+// TestShortPauseOfTheStoreSendsOneDaemonThere has the store respond to nobody for a second. All daemons called it then,
 // as if each watcher had failed.
 func TestShortPauseOfTheStoreSendsOneDaemonThere(t *testing.T) {
 	for moment := 50 * time.Millisecond; moment < follower.PromptWait; moment += 100 * time.Millisecond {
@@ -47,7 +47,7 @@
 				f.store.write(promptName)
 				time.Sleep(7*time.Second + moment)
 				since := time.Now()
-				f.store.pause(800 * time.Millisecond)
+				f.store.pause(time.Second)
 				time.Sleep(3 * time.Second)
 				if callers := f.store.callers(since, watchers); len(callers) > 1 {
 					t.Errorf("%d daemons besides the watchers called the store", len(callers))
