--- a/review/_standin-3/fleet.go
+++ b/review/_standin-3/fleet.go
@@ -103,7 +103,7 @@
 // startStore starts the project's stand-in for the store.
 func (f *fleet) startStore() error {
 	f.store = freeAddress("127.0.0.1")
-	if _, err := f.start(filepath.Join(f.folder, "store.log"), nil, "target/catkinrun-standin", "platform", "--listen", f.store); err != nil {
+	if _, err := f.start(filepath.Join(f.folder, "store.log"), nil, "target/review-3", platformCommand, f.store); err != nil {
 		return err
 	}
 	return waitFor(5*time.Second, "the store", func() bool {
@@ -176,12 +176,6 @@
 	_ = h.process.Process.Signal(s)
 }
 
-// kill ends the daemon of a host and waits for its end.
-func (f *fleet) kill(h *host) {
-	f.signal(h, syscall.SIGKILL)
-	_ = h.process.Wait()
-}
-
 // storeRow is a row of the store on the wire.
 type storeRow struct {
 	Table   string `json:"table"`
--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -5,9 +5,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"sort"
 	"time"
+
+	"github.com/catkinrun/catkinrun/clock"
+	"github.com/catkinrun/catkinrun/standin/platform"
 )
 
 // The exit codes.
@@ -26,6 +30,10 @@
 var scenarios = map[string]scenario{}
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == platformCommand {
+		fmt.Fprintln(os.Stderr, servePlatform(os.Args[2]))
+		os.Exit(exitNotRun)
+	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE FOLDER, in the root of the repository")
 		os.Exit(exitNotRun)
@@ -43,6 +51,14 @@
 	os.Exit(run(play, os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
+// platformCommand runs the project's stand-in for the store, in a process of its own.
+const platformCommand = "platform"
+
+// servePlatform serves the store at an address until the process ends.
+func servePlatform(address string) error {
+	return http.ListenAndServe(address, platform.New(clock.System{}, platform.Limits{}).Handler())
+}
+
 func run(play scenario, folder string, trouble bool) int {
 	record, err := newRecord(folder)
 	if err != nil {
--- a/review/_standin-3/server.go
+++ b/review/_standin-3/server.go
@@ -68,7 +68,7 @@
 	_ = s.http.Close()
 }
 
-// setRunning counts a run of a request.
+// begin counts a run of a request.
 func (s *server) begin(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
